--- /dev/null
+++ b/internal/choir/choir.go
@@ -0,0 +1,293 @@
+// Package choir runs replicas of groups for a process: it feeds the engine
+// with messages, time and disk completions, and carries out its effects. All
+// of it happens on one goroutine, the actor that owns the tables; others hand
+// it commands.
+package choir
+
+import (
+	"time"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/unit"
+	"oxbowdeck/internal/vault"
+)
+
+// Actor owns tables and works through a queue of commands.
+type Actor struct {
+	box  chan func()
+	quit chan struct{}
+}
+
+// NewActor makes one with a bounded queue.
+func NewActor(depth int) *Actor {
+	return &Actor{box: make(chan func(), depth), quit: make(chan struct{})}
+}
+
+// Do queues a command. A full queue holds the caller up.
+func (a *Actor) Do(f func()) {
+	select {
+	case a.box <- f:
+	case <-a.quit:
+	}
+}
+
+// Box is the queue itself, for callers that must not wait for ever.
+func (a *Actor) Box() chan<- func() { return a.box }
+
+// Stop ends Run.
+func (a *Actor) Stop() { close(a.quit) }
+
+// Run works through commands; after each burst it calls after, which tells
+// when to call it again at the latest (0: whenever).
+func (a *Actor) Run(after func() time.Duration) {
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	for {
+		if d := after(); d > 0 {
+			t.Reset(d)
+		}
+		select {
+		case f := <-a.box:
+			f()
+			for n := 0; n < 256; n++ {
+				select {
+				case f := <-a.box:
+					f()
+					continue
+				default:
+				}
+				break
+			}
+		case <-t.C:
+		case <-a.quit:
+			return
+		}
+	}
+}
+
+// Machine is a replicated state.
+type Machine interface {
+	Apply(d accord.Decided)
+	Save() ([]byte, error)
+	Load([]byte) error
+}
+
+// Part is one group's replica.
+type Part struct {
+	Core    *accord.Core
+	Machine Machine
+	group   unit.Group
+	logged  int // bytes applied since the last snapshot
+	saving  bool
+	snapped unit.Slot // the newest durable snapshot
+	wake    unit.Millis
+	lead    unit.Ballot
+}
+
+// Choir is all replicas of a process.
+type Choir struct {
+	Actor    *Actor
+	Hub      *lane.Hub
+	Vault    *vault.Vault
+	Kind     lane.Kind // frames of the engine
+	SnapKind lane.Kind
+	SnapAt   int                                            // log bytes between snapshots
+	OnLead   func(g unit.Group, b unit.Ballot, n unit.Node) // the acting leader changed
+	Parts    map[unit.Group]*Part
+	Failed   func(error)
+}
+
+type snapFrame struct {
+	_     struct{} `cbor:",toarray"`
+	Group unit.Group
+	Snap  vault.Snapshot
+}
+
+// Open starts a group's replica from the disk. genesis is the membership the
+// group was founded with, used when the disk knows of no later one.
+func (ch *Choir) Open(conf accord.Conf, genesis []accord.Member, m Machine) (*Part, error) {
+	boot, snap, err := ch.Vault.Load(conf.Group)
+	if err != nil {
+		return nil, err
+	}
+	if snap != nil && len(snap.State) > 0 {
+		if err := m.Load(snap.State); err != nil {
+			return nil, unit.Err("load snapshot", "disk", err)
+		}
+	}
+	if len(boot.Eras) == 0 {
+		boot.Eras = []accord.Era{{From: 0, Seats: genesis}}
+	}
+	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group}
+	ch.Parts[conf.Group] = p
+	ch.flush(p)
+	return p, nil
+}
+
+// Step does what is due; it returns how long nothing will be.
+func (ch *Choir) Step() time.Duration {
+	now := unit.Steady()
+	wait := unit.Millis(1000)
+	for _, p := range ch.Parts {
+		if p.Core.NextWake() <= now {
+			p.Core.Tick(now)
+		}
+		ch.flush(p)
+		if w := p.Core.NextWake() - now; w < wait {
+			wait = w
+		}
+	}
+	return max(wait, 1).Span()
+}
+
+func (ch *Choir) flush(p *Part) {
+	for {
+		e := p.Core.Drain()
+		if len(e.Saves)+len(e.Sends)+len(e.Decided)+len(e.Snaps) == 0 {
+			break
+		}
+		if len(e.Saves) > 0 {
+			token := e.Token
+			// never block the actor on the disk's queue: its completions come back here
+			synced := func(err error) {
+				ch.Actor.Do(func() {
+					if err != nil {
+						ch.Failed(err)
+						return
+					}
+					p.Core.Synced(unit.Steady(), token)
+				})
+			}
+			ch.Vault.Save(p.group, e.Saves, synced)
+		}
+		for _, s := range e.Sends {
+			ch.Hub.Send(s.To, ch.Kind, s.Msg)
+		}
+		for _, d := range e.Decided {
+			p.Machine.Apply(d)
+			p.logged += len(d.Raw) + 64
+		}
+		for _, n := range e.Snaps {
+			ch.sendSnap(p, n)
+		}
+	}
+	if b, n := p.Core.Lead(); b != p.lead && n != "" {
+		p.lead = b
+		if ch.OnLead != nil {
+			ch.OnLead(p.group, b, n)
+		}
+	}
+	if p.logged > ch.SnapAt && !p.saving {
+		ch.snapshot(p)
+	}
+}
+
+func (ch *Choir) image(p *Part) (vault.Snapshot, error) {
+	b, err := p.Machine.Save()
+	return vault.Snapshot{Slot: p.Core.Commit(), Eras: p.Core.Eras(), State: b}, err
+}
+
+func (ch *Choir) snapshot(p *Part) {
+	s, err := ch.image(p)
+	if err != nil {
+		ch.Failed(unit.Err("snapshot", "", err))
+		return
+	}
+	p.saving, p.logged = true, 0
+	ch.Vault.SaveSnapshot(p.group, s, func(err error) {
+		ch.Actor.Do(func() {
+			p.saving = false
+			if err != nil {
+				ch.Failed(err)
+				return
+			}
+			// one snapshot's worth of log stays at hand for replicas that lag
+			p.Core.Trim(p.snapped)
+			p.snapped = s.Slot
+		})
+	})
+}
+
+func (ch *Choir) sendSnap(p *Part, n unit.Node) {
+	s, err := ch.image(p)
+	if err != nil {
+		unit.Log("snapshot-failed", "group", p.group, "err", err)
+		return
+	}
+	unit.Log("snapshot-sent", "group", p.group, "peer", n, "slot", s.Slot, "bytes", len(s.State))
+	ch.Hub.Send(n, ch.SnapKind, snapFrame{Group: p.group, Snap: s})
+}
+
+// Frame takes a frame from a peer if it is the engine's; run on the actor.
+func (ch *Choir) Frame(from unit.Node, k lane.Kind, b []byte) bool {
+	switch k {
+	case ch.Kind:
+		m, ok := lane.Get[accord.Msg](b)
+		if p := ch.Parts[m.Group]; ok && p != nil {
+			p.Core.Take(unit.Steady(), from, m)
+			ch.flush(p)
+		}
+	case ch.SnapKind:
+		f, ok := lane.Get[snapFrame](b)
+		p := ch.Parts[f.Group]
+		if !ok || p == nil || f.Snap.Slot <= p.Core.Commit() {
+			return true
+		}
+		if err := p.Machine.Load(f.Snap.State); err != nil {
+			unit.Log("snapshot-refused", "peer", from, "err", err)
+			return true
+		}
+		p.Core.Install(unit.Steady(), f.Snap.Slot, f.Snap.Eras)
+		unit.Log("snapshot-taken", "group", f.Group, "peer", from, "slot", f.Snap.Slot)
+		ch.flush(p)
+		p.saving, p.logged = true, 0
+		ch.Vault.SaveSnapshot(f.Group, f.Snap, func(err error) {
+			ch.Actor.Do(func() {
+				p.saving = false
+				if err != nil {
+					ch.Failed(err)
+				}
+			})
+		})
+	default:
+		return false
+	}
+	return true
+}
+
+// Down tells every replica that the connection to a peer broke.
+func (ch *Choir) Down(n unit.Node) {
+	for _, p := range ch.Parts {
+		p.Core.Down(unit.Steady(), n)
+	}
+}
+
+// Submit puts a request to a group's leader, if it is here.
+func (ch *Choir) Submit(g unit.Group, r accord.Request) error {
+	p := ch.Parts[g]
+	if p == nil {
+		return accord.ErrNotLeader
+	}
+	err := p.Core.Submit(unit.Steady(), r)
+	ch.flush(p)
+	return err
+}
+
+// Leave drains: every leadership is handed over.
+func (ch *Choir) Leave() {
+	for _, p := range ch.Parts {
+		p.Core.Yield(unit.Steady())
+		ch.flush(p)
+	}
+}
+
+// Leads tells whether any group is led here.
+func (ch *Choir) Leads() bool {
+	for _, p := range ch.Parts {
+		if p.Core.Role() == accord.Leader {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/ground/ground.go
@@ -0,0 +1,99 @@
+package ground
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/unit"
+)
+
+// LaneBounds are the bounds of links between processes, from the settings.
+func LaneBounds(s *Settings) lane.Bounds {
+	return lane.Bounds{
+		Queue:    s.Int("lane_queue_kb", 16<<10) << 10,
+		Frame:    s.Int("lane_frame_kb", 64<<10) << 10,
+		Dial:     time.Duration(s.Int("lane_dial_ms", 600)) * time.Millisecond,
+		Silence:  time.Duration(s.Int("lane_silence_ms", 1500)) * time.Millisecond,
+		RetryMin: time.Duration(s.Int("lane_retry_ms", 20)) * time.Millisecond,
+		RetryMax: time.Duration(s.Int("lane_retry_max_ms", 400)) * time.Millisecond,
+	}
+}
+
+// HostOf gives the host of an address.
+func HostOf(addr string) string {
+	h, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return strings.TrimSpace(addr)
+	}
+	return h
+}
+
+// Fatal ends the process on an error it cannot serve with: a disk that does
+// not write must not go on answering.
+func Fatal(err error) {
+	unit.Log("fatal", "err", err)
+	os.Exit(1)
+}
+
+// Readiness answers the platform's probe.
+type Readiness struct{ on atomic.Bool }
+
+// Set changes the answer.
+func (r *Readiness) Set(on bool) { r.on.Store(on) }
+
+// On tells it.
+func (r *Readiness) On() bool { return r.on.Load() }
+
+// Serve answers GET /v1/readiness at addr.
+func (r *Readiness) Serve(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return unit.Err("listen readiness", addr, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if !r.On() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, MaxHeaderBytes: 8 << 10}
+	go srv.Serve(ln)
+	return nil
+}
+
+// Wait calls hup at each SIGHUP, and returns at SIGTERM or SIGINT.
+func Wait(ctx context.Context, hup func()) {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(c)
+	for {
+		select {
+		case s := <-c:
+			if s != syscall.SIGHUP {
+				return
+			}
+			hup()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Norms gives the control-plane processes of the seeds, by internal address.
+func Norms(s *Settings) []unit.Node {
+	var out []unit.Node
+	for _, x := range s.Seeds {
+		out = append(out, InnerOf(HostOf(x), s.Ports, PortNorm))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ground/settings.go
@@ -0,0 +1,195 @@
+// Package ground is what the platform says to a process and hears from it:
+// the settings file, signals and readiness.
+package ground
+
+import (
+	"bufio"
+	"bytes"
+	_ "embed"
+	"fmt"
+	"os"
+	"reflect"
+	"runtime/debug"
+	"strconv"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+
+	"oxbowdeck/internal/unit"
+)
+
+// EnvSettings names the variable that holds the settings file's path.
+const EnvSettings = "OXBOWDECK_BOOT"
+
+//go:embed settings.cue
+var schema string
+
+// Settings is the settings file. The tag is the field's name there.
+type Settings struct {
+	Name      string            `set:"node_name" json:"node_name"`
+	Role      string            `set:"role" json:"role"`
+	Class     string            `set:"machine_class" json:"machine_class"`
+	Serves    []string          `set:"served_roles" json:"served_roles"`
+	IP        string            `set:"ip_addr" json:"ip_addr"`
+	Zone      unit.Zone         `set:"avail_zone" json:"avail_zone"`
+	Region    string            `set:"region" json:"region"`
+	Front     string            `set:"listen_addrs.front" json:"listen_addrs_front"`
+	Ready     string            `set:"listen_addrs.readiness" json:"listen_addrs_readiness"`
+	Control   string            `set:"listen_addrs.control" json:"listen_addrs_control"`
+	Ports     []int             `set:"internal_ports" json:"internal_ports"`
+	Seeds     []string          `set:"seed_nodes" json:"seed_nodes"`
+	First     bool              `set:"initial_start" json:"initial_start"`
+	DataDir   string            `set:"data_dir" json:"data_dir"`
+	MemoryMB  int               `set:"limits.memory_mb" json:"limits_memory_mb"`
+	FDs       int               `set:"limits.fd_limit" json:"limits_fd_limit"`
+	DiskMB    int               `set:"limits.disk_mb" json:"limits_disk_mb"`
+	LinkMbps  float64           `set:"limits.link_mbps" json:"limits_link_mbps"`
+	Losses    int               `set:"fault_tolerance.machines" json:"fault_tolerance_machines"`
+	ContactMs int               `set:"timing_bounds.contact_ms" json:"timing_bounds_contact_ms"`
+	AckMs     int               `set:"timing_bounds.ack_ms" json:"timing_bounds_ack_ms"`
+	ApplyMs   int               `set:"timing_bounds.config_apply_ms" json:"timing_bounds_config_apply_ms"`
+	DrainMs   int               `set:"timing_bounds.drain_ms" json:"timing_bounds_drain_ms"`
+	GraceS    float64           `set:"timing_bounds.grace_s" json:"timing_bounds_grace_s"`
+	PingS     float64           `set:"timing_bounds.ping_s" json:"timing_bounds_ping_s"`
+	RejoinS   float64           `set:"timing_bounds.rejoin_s" json:"timing_bounds_rejoin_s"`
+	ResendS   float64           `set:"timing_bounds.resend_s" json:"timing_bounds_resend_s"`
+	Extra     map[string]string `json:"-"` // tuning.* of this project
+}
+
+// Read reads and checks a settings file. Unknown fields are ignored.
+func Read(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, unit.Err("read settings", path, err)
+	}
+	s, err := Parse(b)
+	return s, unit.Err("settings", path, err)
+}
+
+// Parse reads lines of a.b=value and checks them against the schema.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{Extra: map[string]string{}}
+	fields := map[string]reflect.Value{}
+	v := reflect.ValueOf(s).Elem()
+	for i := 0; i < v.NumField(); i++ {
+		if n := v.Type().Field(i).Tag.Get("set"); n != "" {
+			fields[n] = v.Field(i)
+		}
+	}
+	sc := bufio.NewScanner(bytes.NewReader(b))
+	for n := 1; sc.Scan(); n++ {
+		line := strings.TrimSpace(sc.Text())
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		k, val, ok := strings.Cut(line, "=")
+		if !ok {
+			return nil, fmt.Errorf("line %d: no '='", n)
+		}
+		if f, ok := fields[k]; ok {
+			if err := set(f, val); err != nil {
+				return nil, fmt.Errorf("line %d: field %s: %w", n, k, err)
+			}
+		} else if strings.HasPrefix(k, "tuning.") {
+			s.Extra[strings.TrimPrefix(k, "tuning.")] = val
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return nil, err
+	}
+	ctx := cuecontext.New()
+	want := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Settings"))
+	if err := want.Err(); err != nil {
+		return nil, err
+	}
+	if err := want.Unify(ctx.Encode(s)).Validate(cue.Concrete(true)); err != nil {
+		return nil, FirstError(err)
+	}
+	return s, nil
+}
+
+// FirstError makes a schema's refusal one line: the field and the reason.
+func FirstError(err error) error {
+	e := errors.Errors(err)[0]
+	f, a := e.Msg()
+	return fmt.Errorf("field %s: %s", strings.Join(e.Path(), "."), strings.ReplaceAll(fmt.Sprintf(f, a...), "\n", " "))
+}
+
+func set(f reflect.Value, val string) error {
+	switch f.Kind() {
+	case reflect.String:
+		f.SetString(val)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(val)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", val)
+		}
+		f.SetBool(b)
+	case reflect.Int:
+		n, err := strconv.ParseFloat(val, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", val)
+		}
+		f.SetInt(int64(n))
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(val, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", val)
+		}
+		f.SetFloat(n)
+	case reflect.Slice:
+		parts := strings.Split(val, ",")
+		out := reflect.MakeSlice(f.Type(), 0, len(parts))
+		for _, p := range parts {
+			if p = strings.TrimSpace(p); p == "" {
+				continue
+			}
+			e := reflect.New(f.Type().Elem()).Elem()
+			if err := set(e, p); err != nil {
+				return err
+			}
+			out = reflect.Append(out, e)
+		}
+		f.Set(out)
+	}
+	return nil
+}
+
+// Inner gives this process's internal address: norm, store and edge each take
+// their own port of the range, so two of them can share a machine.
+func (s *Settings) Inner(n int) unit.Node {
+	return InnerOf(s.IP, s.Ports, n)
+}
+
+// InnerOf gives the internal address of a process on another machine.
+func InnerOf(ip string, ports []int, n int) unit.Node {
+	return unit.Node(ip + ":" + strconv.Itoa(ports[0]+n))
+}
+
+// The places of the programs in the range of internal ports.
+const (
+	PortNorm = iota
+	PortStore
+	PortEdge
+)
+
+// Int gives a tuning value: tuning.NAME of the settings file, else def.
+func (s *Settings) Int(name string, def int) int {
+	if v, ok := s.Extra[name]; ok {
+		if n, err := strconv.Atoi(v); err == nil && n > 0 {
+			return n
+		}
+		unit.Log("tuning-refused", "name", name, "value", v)
+	}
+	return def
+}
+
+// Fit bounds the process's memory to what the settings allow.
+func (s *Settings) Fit() {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 6 / 10)
+	}
+	debug.SetGCPercent(s.Int("gc_percent", 60))
+}
--- /dev/null
+++ b/internal/lane/lane.go
@@ -0,0 +1,358 @@
+// Package lane carries CBOR frames between the system's own processes over
+// TCP. A link is an ordered queue of frames to one peer; a queue that grows
+// past its bound breaks the link instead of growing, and every protocol above
+// recovers from a broken link by itself.
+package lane
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/unit"
+)
+
+// Kind names what a frame holds.
+type Kind uint8
+
+// Hello opens every connection.
+type Hello struct {
+	_    struct{} `cbor:",toarray"`
+	Node unit.Node
+	Life unit.Life
+}
+
+const kindHello Kind = 0
+
+// Bounds of a hub; all come from the settings.
+type Bounds struct {
+	Queue    int           // bytes waiting for one peer
+	Frame    int           // largest frame
+	Dial     time.Duration // to connect
+	Silence  time.Duration // unacknowledged bytes break a connection (TCP_USER_TIMEOUT)
+	RetryMin time.Duration
+	RetryMax time.Duration
+}
+
+// Hub is a process's end of all its links.
+type Hub struct {
+	self   Hello
+	bounds Bounds
+	handle func(*Link, Kind, []byte)
+	down   func(*Link)
+	mu     sync.Mutex
+	out    map[unit.Node]*Link
+	in     map[*Link]bool
+	closed bool
+	ln     net.Listener
+}
+
+// New makes a hub. handle runs on the reader of each link, down when one ends.
+func New(self Hello, b Bounds, handle func(*Link, Kind, []byte), down func(*Link)) *Hub {
+	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[unit.Node]*Link{}, in: map[*Link]bool{}}
+}
+
+// Listen takes connections from peers.
+func (h *Hub) Listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return unit.Err("listen", addr, err)
+	}
+	h.ln = ln
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				if errors.Is(err, net.ErrClosed) {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			l := &Link{hub: h, conn: c, ready: make(chan struct{}, 1)}
+			Tune(c, h.bounds.Silence)
+			h.mu.Lock()
+			h.in[l] = true
+			h.mu.Unlock()
+			go l.read(c)
+			go l.write(c)
+		}
+	}()
+	return nil
+}
+
+// Tune sets how long unacknowledged bytes may hang, and keep-alive probes.
+func Tune(c net.Conn, silence time.Duration) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	t.SetNoDelay(true)
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	const tcpUserTimeout = 18
+	raw.Control(func(fd uintptr) {
+		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence/time.Millisecond))
+	})
+}
+
+// Link is an ordered stream of frames to and from one peer.
+type Link struct {
+	hub   *Hub
+	mu    sync.Mutex
+	peer  Hello
+	to    unit.Node // set on links this side dials
+	conn  net.Conn
+	buf   []byte
+	ready chan struct{}
+	dead  bool
+	Tag   any // the owner's, touched only by it
+}
+
+// Peer is who is at the other end.
+func (l *Link) Peer() Hello {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.to != "" {
+		return Hello{Node: l.to}
+	}
+	return l.peer
+}
+
+// Dialed tells whether this side opened the link.
+func (l *Link) Dialed() bool { return l.to != "" }
+
+// To gives the link to a node, dialing if there is none.
+func (h *Hub) To(n unit.Node) *Link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.out[n]; l != nil {
+		return l
+	}
+	l := &Link{hub: h, to: n, ready: make(chan struct{}, 1)}
+	if h.closed {
+		l.dead = true
+		return l
+	}
+	h.out[n] = l
+	go l.dial()
+	return l
+}
+
+// Has tells whether a link to n stands or is being made.
+func (h *Hub) Has(n unit.Node) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.out[n] != nil
+}
+
+// Send queues a frame to n; lost if the link breaks first.
+func (h *Hub) Send(n unit.Node, k Kind, v any) { h.To(n).Send(k, v) }
+
+// Close ends all links after flushing what is queued, within wait.
+func (h *Hub) Close(wait time.Duration) {
+	h.mu.Lock()
+	h.closed = true
+	var all []*Link
+	for _, l := range h.out {
+		all = append(all, l)
+	}
+	for l := range h.in {
+		all = append(all, l)
+	}
+	if h.ln != nil {
+		h.ln.Close()
+	}
+	h.mu.Unlock()
+	until := time.Now().Add(wait)
+	for _, l := range all {
+		for time.Now().Before(until) {
+			l.mu.Lock()
+			empty := len(l.buf) == 0 || l.dead
+			l.mu.Unlock()
+			if empty {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	time.Sleep(5 * time.Millisecond)
+	for _, l := range all {
+		l.Drop()
+	}
+}
+
+func (l *Link) dial() {
+	var err error
+	pause := l.hub.bounds.RetryMin
+	for try := 0; try < 3; try++ {
+		var c net.Conn
+		c, err = net.DialTimeout("tcp", string(l.to), l.hub.bounds.Dial)
+		if err == nil {
+			Tune(c, l.hub.bounds.Silence)
+			l.mu.Lock()
+			if l.dead {
+				l.mu.Unlock()
+				c.Close()
+				return
+			}
+			l.conn = c
+			l.mu.Unlock()
+			go l.read(c)
+			l.write(c)
+			return
+		}
+		time.Sleep(pause/2 + rand.N(pause))
+		pause = min(2*pause, l.hub.bounds.RetryMax)
+		l.mu.Lock()
+		dead := l.dead
+		l.mu.Unlock()
+		if dead {
+			return
+		}
+	}
+	l.Drop()
+}
+
+// Send queues one frame; false when the link is dead or its queue is full.
+func (l *Link) Send(k Kind, v any) bool {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		unit.Log("encode-failed", "kind", k, "err", err)
+		return false
+	}
+	return l.SendRaw(k, b)
+}
+
+// SendRaw queues a frame that is encoded already.
+func (l *Link) SendRaw(k Kind, b []byte) bool {
+	l.mu.Lock()
+	if l.dead {
+		l.mu.Unlock()
+		return false
+	}
+	if len(l.buf) > 0 && len(l.buf)+len(b) > l.hub.bounds.Queue {
+		l.mu.Unlock()
+		unit.Log("link-full", "peer", l.Peer().Node, "bytes", len(l.buf))
+		l.Drop()
+		return false
+	}
+	l.buf = binary.BigEndian.AppendUint32(l.buf, uint32(len(b)+1))
+	l.buf = append(l.buf, byte(k))
+	l.buf = append(l.buf, b...)
+	l.mu.Unlock()
+	select {
+	case l.ready <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (l *Link) write(c net.Conn) {
+	if l.to != "" {
+		hello, _ := cbor.Marshal(l.hub.self)
+		f := binary.BigEndian.AppendUint32(nil, uint32(len(hello)+1))
+		f = append(append(f, byte(kindHello)), hello...)
+		l.mu.Lock()
+		l.buf = append(f, l.buf...)
+		l.mu.Unlock()
+	}
+	var spare []byte
+	for {
+		l.mu.Lock()
+		b := l.buf
+		l.buf = spare[:0]
+		dead := l.dead
+		l.mu.Unlock()
+		if dead {
+			return
+		}
+		if len(b) == 0 {
+			spare = b
+			<-l.ready
+			continue
+		}
+		if _, err := c.Write(b); err != nil {
+			l.Drop()
+			return
+		}
+		spare = b
+		if cap(spare) > 64<<10 {
+			spare = nil
+		}
+	}
+}
+
+func (l *Link) read(c net.Conn) {
+	defer l.Drop()
+	r := bufio.NewReaderSize(c, 8<<10)
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(r, head[:]); err != nil {
+			return
+		}
+		n := int(binary.BigEndian.Uint32(head[:]))
+		if n < 1 || n > l.hub.bounds.Frame {
+			unit.Log("frame-refused", "peer", l.Peer().Node, "bytes", n)
+			return
+		}
+		b := make([]byte, n)
+		if _, err := io.ReadFull(r, b); err != nil {
+			return
+		}
+		if Kind(b[0]) == kindHello {
+			var h Hello
+			if cbor.Unmarshal(b[1:], &h) != nil {
+				return
+			}
+			l.mu.Lock()
+			l.peer = h
+			l.mu.Unlock()
+			continue
+		}
+		l.hub.handle(l, Kind(b[0]), b[1:])
+	}
+}
+
+// Drop ends the link; the next To dials anew.
+func (l *Link) Drop() {
+	l.mu.Lock()
+	if l.dead {
+		l.mu.Unlock()
+		return
+	}
+	l.dead = true
+	l.buf = nil
+	c := l.conn
+	l.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+	l.hub.mu.Lock()
+	if l.to != "" && l.hub.out[l.to] == l {
+		delete(l.hub.out, l.to)
+	}
+	delete(l.hub.in, l)
+	l.hub.mu.Unlock()
+	select {
+	case l.ready <- struct{}{}:
+	default:
+	}
+	l.hub.down(l)
+}
+
+// Get decodes a frame's content.
+func Get[T any](b []byte) (T, bool) {
+	var v T
+	return v, cbor.Unmarshal(b, &v) == nil
+}
--- /dev/null
+++ b/internal/tale/tale.go
@@ -0,0 +1,420 @@
+// Package tale is the state a shard's group agrees on: the history of its
+// topics, which calls of each client were accepted, and who is seated at which
+// topic. Apply is deterministic: nothing local (clock, map order) enters it;
+// time is the decided time of the batch.
+package tale
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// Verb of a command.
+type Verb uint8
+
+const (
+	Publish Verb = iota + 1
+	Sit          // a client's subscription is held by an edge
+	Rise         // it is no more
+	Gone         // an edge's life ended: all its seats are empty
+)
+
+// Command is one request's content.
+type Command struct {
+	Verb   Verb        `cbor:"1,keyasint"`
+	Topic  unit.Topic  `cbor:"2,keyasint,omitempty"`
+	Client unit.Client `cbor:"3,keyasint,omitempty"`
+	Seq    unit.Seq    `cbor:"4,keyasint,omitempty"`
+	Body   []byte      `cbor:"5,keyasint,omitempty"`
+	Edge   unit.Node   `cbor:"6,keyasint,omitempty"`
+	Keep   unit.Millis `cbor:"7,keyasint,omitempty"` // how long the space keeps it
+	Life   unit.Life   `cbor:"8,keyasint,omitempty"`
+	Conn   uint64      `cbor:"9,keyasint,omitempty"`
+}
+
+// Verdict of a publish.
+type Verdict uint8
+
+const (
+	Fresh   Verdict = iota + 1 // accepted now
+	Again                      // accepted before: answered alike, delivered once
+	Refused                    // below an accepted number and never accepted itself
+)
+
+// Item is one message in a topic's history.
+type Item struct {
+	_      struct{} `cbor:",toarray"`
+	Pos    unit.Pos
+	Client unit.Client
+	Seq    unit.Seq
+	Body   []byte
+	At     unit.Millis
+	Keep   unit.Millis
+}
+
+// Topic is a topic's kept history, and the last place that was let go of.
+type Topic struct {
+	_       struct{} `cbor:",toarray"`
+	Items   []Item
+	Trimmed unit.Pos
+	At      unit.Millis // last change
+}
+
+type accepted struct {
+	_   struct{} `cbor:",toarray"`
+	Seq unit.Seq
+	At  unit.Millis
+}
+
+// mark is what is known of one client's calls on one topic.
+type mark struct {
+	_      struct{} `cbor:",toarray"`
+	High   unit.Seq
+	Recent []accepted
+	At     unit.Millis
+}
+
+type markKey struct {
+	_      struct{} `cbor:",toarray"`
+	Client unit.Client
+	Topic  unit.Topic
+}
+
+// seat is where a client's subscription to a topic is held.
+type seat struct {
+	_    struct{} `cbor:",toarray"`
+	Edge unit.Node
+	Life unit.Life
+	Conn uint64
+}
+
+// Bounds of what a state holds. They are part of the group's agreement: every
+// replica of a group runs with the same.
+type Bounds struct {
+	Slack   unit.Millis // history is kept this much longer than the space asks
+	Resend  unit.Millis // accepted numbers are remembered this long
+	Marks   int         // most (client, topic) marks
+	Topics  int         // most topics remembered without history
+	Live    unit.Millis // history of a space that keeps none
+	SweepMs unit.Millis // how often old things are looked for
+}
+
+// Event is what a replica tells the edges that follow it.
+type Event struct {
+	ID      accord.ID
+	Cmd     *Command
+	Pos     unit.Pos
+	Verdict Verdict // of a publish
+}
+
+// State is one shard's agreed state.
+type State struct {
+	Bounds Bounds
+	clock  unit.Millis
+	swept  unit.Millis
+	slot   unit.Slot
+	floor  unit.Pos // topics forgotten altogether lie below
+	topics map[unit.Topic]*Topic
+	marks  map[markKey]*mark
+	seats  map[unit.Topic]map[unit.Client]seat
+	bytes  int
+}
+
+// New starts an empty state.
+func New(b Bounds) *State {
+	return &State{Bounds: b, topics: map[unit.Topic]*Topic{}, marks: map[markKey]*mark{},
+		seats: map[unit.Topic]map[unit.Client]seat{}}
+}
+
+func (s *State) Slot() unit.Slot { return s.slot }
+func (s *State) Bytes() int      { return s.bytes }
+
+// Apply runs a decided instance. What it emits is in the order of the log.
+func (s *State) Apply(d accord.Decided, emit func(Event)) {
+	s.slot = d.Slot
+	if d.Value.Stamp > s.clock {
+		s.clock = d.Value.Stamp // decided time never goes back
+	}
+	for i, r := range accord.Order(d.Value.Reqs) {
+		var c Command
+		if err := cbor.Unmarshal(r.Data, &c); err != nil {
+			continue // the same bytes fail alike everywhere
+		}
+		s.run(r.ID, &c, unit.MakePos(d.Slot, i), emit)
+	}
+	if s.clock-s.swept >= s.Bounds.SweepMs {
+		s.swept = s.clock
+		s.sweep()
+	}
+}
+
+func (s *State) run(id accord.ID, c *Command, pos unit.Pos, emit func(Event)) {
+	switch c.Verb {
+	case Publish:
+		emit(Event{ID: id, Cmd: c, Pos: pos, Verdict: s.publish(c, pos)})
+	case Sit:
+		t := s.seats[c.Topic]
+		if t == nil {
+			t = map[unit.Client]seat{}
+			s.seats[c.Topic] = t
+		}
+		t[c.Client] = seat{Edge: c.Edge, Life: c.Life, Conn: c.Conn}
+		emit(Event{ID: id, Cmd: c, Pos: pos})
+	case Rise:
+		if t := s.seats[c.Topic]; t != nil {
+			if x := t[c.Client]; x.Edge == c.Edge && x.Life == c.Life && x.Conn == c.Conn {
+				delete(t, c.Client)
+			}
+			if len(t) == 0 {
+				delete(s.seats, c.Topic)
+			}
+		}
+		emit(Event{ID: id, Cmd: c, Pos: pos})
+	case Gone:
+		for n, t := range s.seats {
+			for k, x := range t {
+				if x.Edge == c.Edge && x.Life == c.Life {
+					delete(t, k)
+				}
+			}
+			if len(t) == 0 {
+				delete(s.seats, n)
+			}
+		}
+	}
+}
+
+func (s *State) publish(c *Command, pos unit.Pos) Verdict {
+	k := markKey{Client: c.Client, Topic: c.Topic}
+	m := s.marks[k]
+	if m == nil {
+		m = &mark{}
+		s.marks[k] = m
+	}
+	for _, a := range m.Recent {
+		if a.Seq == c.Seq {
+			return Again
+		}
+	}
+	if c.Seq <= m.High && m.High != 0 {
+		return Refused
+	}
+	m.High, m.At = c.Seq, s.clock
+	n := 0
+	for _, a := range m.Recent {
+		if s.clock-a.At <= s.Bounds.Resend {
+			m.Recent[n] = a
+			n++
+		}
+	}
+	m.Recent = append(m.Recent[:n], accepted{Seq: c.Seq, At: s.clock})
+	t := s.topic(c.Topic)
+	t.At = s.clock
+	keep := c.Keep
+	if keep <= 0 {
+		keep = s.Bounds.Live
+	}
+	t.Items = append(t.Items, Item{Pos: pos, Client: c.Client, Seq: c.Seq, Body: c.Body, At: s.clock, Keep: keep})
+	s.bytes += len(c.Body) + 64
+	return Fresh
+}
+
+func (s *State) topic(n unit.Topic) *Topic {
+	t := s.topics[n]
+	if t == nil {
+		t = &Topic{Trimmed: s.floor}
+		s.topics[n] = t
+	}
+	return t
+}
+
+// sweep lets go of what is older than it must be kept.
+func (s *State) sweep() {
+	bare := 0
+	for _, t := range s.topics {
+		n := 0
+		for n < len(t.Items) && s.clock-t.Items[n].At > t.Items[n].Keep+s.Bounds.Slack {
+			s.bytes -= len(t.Items[n].Body) + 64
+			t.Trimmed = t.Items[n].Pos
+			n++
+		}
+		if n > 0 {
+			t.Items = append([]Item(nil), t.Items[n:]...)
+		}
+		if len(t.Items) == 0 {
+			bare++
+		}
+	}
+	if bare > s.Bounds.Topics {
+		s.forgetTopics(bare - s.Bounds.Topics/2)
+	}
+	if len(s.marks) > s.Bounds.Marks {
+		s.forgetMarks(len(s.marks) - s.Bounds.Marks/2)
+	}
+}
+
+func (s *State) forgetTopics(n int) {
+	type old struct {
+		name unit.Topic
+		pos  unit.Pos
+	}
+	var all []old
+	for name, t := range s.topics {
+		if len(t.Items) == 0 {
+			all = append(all, old{name, t.Trimmed})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].pos != all[j].pos {
+			return all[i].pos < all[j].pos
+		}
+		return all[i].name < all[j].name
+	})
+	for _, o := range all[:n] {
+		s.floor = max(s.floor, o.pos)
+		delete(s.topics, o.name)
+	}
+}
+
+func (s *State) forgetMarks(n int) {
+	type old struct {
+		k  markKey
+		at unit.Millis
+	}
+	var all []old
+	for k, m := range s.marks {
+		if s.clock-m.At > s.Bounds.Resend {
+			all = append(all, old{k, m.At})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if a.at != b.at {
+			return a.at < b.at
+		}
+		if a.k.Client != b.k.Client {
+			return a.k.Client < b.k.Client
+		}
+		return a.k.Topic < b.k.Topic
+	})
+	if n > len(all) {
+		n = len(all)
+	}
+	for _, o := range all[:n] {
+		delete(s.marks, o.k)
+	}
+}
+
+// After gives a topic's messages after a place; ok is false when some of them
+// are no longer held.
+func (s *State) After(n unit.Topic, p unit.Pos) (items []Item, ok bool) {
+	t := s.topics[n]
+	if t == nil {
+		return nil, p >= s.floor
+	}
+	i := sort.Search(len(t.Items), func(i int) bool { return t.Items[i].Pos > p })
+	return t.Items[i:], p >= t.Trimmed
+}
+
+// End is the place after everything applied.
+func (s *State) End() unit.Pos { return unit.EndOf(s.slot) }
+
+// Count is how many clients are seated at a topic.
+func (s *State) Count(n unit.Topic) int { return len(s.seats[n]) }
+
+// Edges lists the edge lives that hold seats, in a fixed order.
+func (s *State) Edges() []Holder {
+	set := map[Holder]bool{}
+	for _, t := range s.seats {
+		for _, x := range t {
+			set[Holder{x.Edge, x.Life}] = true
+		}
+	}
+	out := make([]Holder, 0, len(set))
+	for h := range set {
+		out = append(out, h)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Edge != out[j].Edge {
+			return out[i].Edge < out[j].Edge
+		}
+		return out[i].Life < out[j].Life
+	})
+	return out
+}
+
+// Holder is one life of an edge.
+type Holder struct {
+	Edge unit.Node
+	Life unit.Life
+}
+
+type image struct {
+	_      struct{} `cbor:",toarray"`
+	Clock  unit.Millis
+	Swept  unit.Millis
+	Slot   unit.Slot
+	Floor  unit.Pos
+	Topics map[unit.Topic]*Topic
+	Marks  []markRow
+	Seats  map[unit.Topic]map[unit.Client]seat
+}
+
+type markRow struct {
+	_ struct{} `cbor:",toarray"`
+	K markKey
+	M *mark
+}
+
+var canon = func() cbor.EncMode {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Save writes the whole state: equal states give equal bytes.
+func (s *State) Save() ([]byte, error) {
+	im := image{Clock: s.clock, Swept: s.swept, Slot: s.slot, Floor: s.floor, Topics: s.topics, Seats: s.seats}
+	for k, m := range s.marks {
+		im.Marks = append(im.Marks, markRow{K: k, M: m})
+	}
+	sort.Slice(im.Marks, func(i, j int) bool {
+		a, b := im.Marks[i].K, im.Marks[j].K
+		if a.Client != b.Client {
+			return a.Client < b.Client
+		}
+		return a.Topic < b.Topic
+	})
+	return canon.Marshal(im)
+}
+
+// Load replaces the state by a saved one.
+func (s *State) Load(b []byte) error {
+	var im image
+	if err := cbor.Unmarshal(b, &im); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	n := New(s.Bounds)
+	n.clock, n.swept, n.slot, n.floor = im.Clock, im.Swept, im.Slot, im.Floor
+	for k, t := range im.Topics {
+		n.topics[k] = t
+		for _, it := range t.Items {
+			n.bytes += len(it.Body) + 64
+		}
+	}
+	for _, r := range im.Marks {
+		n.marks[r.K] = r.M
+	}
+	for k, t := range im.Seats {
+		n.seats[k] = t
+	}
+	*s = *n
+	return nil
+}
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,134 @@
+// Package trace is what passes between edges and storage replicas, and the
+// edge's tie to the replica it follows.
+package trace
+
+import (
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/tale"
+	"oxbowdeck/internal/unit"
+)
+
+// Frame kinds of this protocol.
+const (
+	KindGroup    lane.Kind = 1
+	KindSnap     lane.Kind = 2
+	KindFollow   lane.Kind = 20
+	KindFollowed lane.Kind = 21
+	KindWatch    lane.Kind = 22
+	KindJoined   lane.Kind = 23
+	KindUnwatch  lane.Kind = 24
+	KindPropose  lane.Kind = 25
+	KindDeny     lane.Kind = 26
+	KindFlow     lane.Kind = 27
+	KindLead     lane.Kind = 28
+	KindCount    lane.Kind = 29
+	KindCounted  lane.Kind = 30
+	KindBye      lane.Kind = 31
+)
+
+// Follow asks a replica for its decided order; Followed answers.
+type Follow struct {
+	_    struct{} `cbor:",toarray"`
+	Edge unit.Node
+	Life unit.Life
+}
+
+// Followed tells whether the replica can serve now.
+type Followed struct {
+	_     struct{} `cbor:",toarray"`
+	Ready bool
+}
+
+// Watch asks for a topic from a place on. The answer comes in the order of the
+// flow: everything up to it is in it, everything after it flows.
+type Watch struct {
+	_     struct{} `cbor:",toarray"`
+	Req   uint64
+	Topic unit.Topic
+	From  unit.Pos
+	Has   bool // From is a place; else from now on
+	Keeps bool // the space promises its history: a place that is gone is told
+}
+
+// Joined answers Watch.
+type Joined struct {
+	_       struct{} `cbor:",toarray"`
+	Req     uint64
+	Topic   unit.Topic
+	End     unit.Pos
+	Expired bool
+	Items   []tale.Item
+}
+
+// Unwatch ends the flow of a topic.
+type Unwatch struct {
+	_     struct{} `cbor:",toarray"`
+	Topic unit.Topic
+}
+
+// Propose forwards requests to a group's leader.
+type Propose struct {
+	_     struct{} `cbor:",toarray"`
+	Group unit.Group
+	Reqs  []accord.Request
+}
+
+// Deny tells that requests were not taken, now or ever by this forward.
+type Deny struct {
+	_     struct{} `cbor:",toarray"`
+	Group unit.Group
+	Full  bool // else: not the leader
+	IDs   []accord.ID
+}
+
+// Item is a decided message of a watched topic.
+type Item struct {
+	_      struct{} `cbor:",toarray"`
+	Topic  unit.Topic
+	Pos    unit.Pos
+	Client unit.Client
+	Seq    unit.Seq
+	Body   []byte
+}
+
+// Outcome is what was decided of a request the edge forwarded.
+type Outcome struct {
+	_       struct{} `cbor:",toarray"`
+	ID      accord.ID
+	Verdict tale.Verdict
+}
+
+// Flow is a stretch of the decided order, as far as it concerns one edge.
+type Flow struct {
+	_        struct{} `cbor:",toarray"`
+	Items    []Item
+	Outcomes []Outcome
+}
+
+// Lead tells who leads a group, under which epoch.
+type Lead struct {
+	_     struct{} `cbor:",toarray"`
+	Group unit.Group
+	Epoch unit.Ballot
+	Node  unit.Node
+}
+
+// Count asks how many clients are seated at a topic.
+type Count struct {
+	_     struct{} `cbor:",toarray"`
+	Req   uint64
+	Topic unit.Topic
+}
+
+// Counted answers Count.
+type Counted struct {
+	_   struct{} `cbor:",toarray"`
+	Req uint64
+	N   int
+}
+
+// Bye tells that the sender ends the following on purpose.
+type Bye struct {
+	_ struct{} `cbor:",toarray"`
+}
--- /dev/null
+++ b/internal/vault/vault.go
@@ -0,0 +1,245 @@
+// Package vault keeps a process's durable state in goleveldb: promises,
+// accepted entries, snapshots and the identity of the disk. One goroutine owns
+// the writes; whatever waits when the disk is free goes down under one sync.
+package vault
+
+import (
+	"encoding/binary"
+	"errors"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// Vault is an open data directory.
+type Vault struct {
+	db   *leveldb.DB
+	mu   sync.Mutex
+	jobs []job // bounded by the windows of the groups that write
+	more chan struct{}
+	shut bool
+	done chan struct{}
+}
+
+type job struct {
+	group unit.Group
+	recs  []accord.Record
+	snap  *Snapshot
+	then  func(error)
+}
+
+// Snapshot is a group's state at an instance.
+type Snapshot struct {
+	_     struct{} `cbor:",toarray"`
+	Slot  unit.Slot
+	Eras  []accord.Era
+	State []byte
+}
+
+type entryRow struct {
+	_      struct{} `cbor:",toarray"`
+	Ballot unit.Ballot
+	Val    []byte
+}
+
+type headRow struct {
+	_        struct{} `cbor:",toarray"`
+	Promised unit.Ballot
+	Commit   unit.Slot
+}
+
+// Identity tells one life of a disk from another.
+type Identity struct {
+	_     struct{} `cbor:",toarray"`
+	Disk  uint64
+	Fresh bool // the disk was empty at the first start of the whole system
+}
+
+// Open opens or makes the directory. Reading a closed one for the tools: readOnly.
+func Open(dir string, readOnly bool) (*Vault, error) {
+	db, err := leveldb.OpenFile(dir, &opt.Options{
+		WriteBuffer:            1 << 20,
+		BlockCacheCapacity:     128 << 10,
+		OpenFilesCacheCapacity: 16,
+		DisableSeeksCompaction: true,
+		Compression:            opt.NoCompression,
+		ReadOnly:               readOnly,
+		ErrorIfMissing:         readOnly,
+	})
+	if err != nil {
+		return nil, unit.Err("open", dir, err)
+	}
+	v := &Vault{db: db, more: make(chan struct{}, 1), done: make(chan struct{})}
+	go v.work()
+	return v, nil
+}
+
+// Close waits for what is queued.
+func (v *Vault) Close() {
+	v.mu.Lock()
+	v.shut = true
+	v.mu.Unlock()
+	v.nudge()
+	<-v.done
+	v.db.Close()
+}
+
+func key(g unit.Group, kind byte, s unit.Slot) []byte {
+	return binary.BigEndian.AppendUint64([]byte{'g', byte(g), kind}, uint64(s))
+}
+
+func (v *Vault) work() {
+	defer close(v.done)
+	for {
+		v.mu.Lock()
+		all, shut := v.jobs, v.shut
+		v.jobs = nil
+		v.mu.Unlock()
+		if len(all) == 0 {
+			if shut {
+				return
+			}
+			<-v.more
+			continue
+		}
+		var b leveldb.Batch
+		for _, j := range all {
+			put(&b, j)
+		}
+		err := v.db.Write(&b, &opt.WriteOptions{Sync: true})
+		for _, j := range all {
+			if err == nil && j.snap != nil {
+				err = v.trim(j.group, j.snap.Slot)
+			}
+			j.then(unit.Err("write", "disk", err))
+		}
+	}
+}
+
+func put(b *leveldb.Batch, j job) {
+	var head headRow
+	for _, r := range j.recs {
+		head = headRow{Promised: r.Promised, Commit: r.Commit}
+		if r.Entry != nil {
+			row, _ := cbor.Marshal(entryRow{Ballot: r.Entry.Ballot, Val: r.Entry.Val})
+			b.Put(key(j.group, 'e', r.Entry.Slot), row)
+		}
+	}
+	if len(j.recs) > 0 {
+		row, _ := cbor.Marshal(head)
+		b.Put(key(j.group, 'h', 0), row)
+	}
+	if j.snap != nil {
+		row, _ := cbor.Marshal(j.snap)
+		b.Put(key(j.group, 's', 0), row)
+	}
+}
+
+// trim drops entries that a durable snapshot covers.
+func (v *Vault) trim(g unit.Group, upTo unit.Slot) error {
+	it := v.db.NewIterator(&util.Range{Start: key(g, 'e', 0), Limit: key(g, 'e', upTo+1)}, &opt.ReadOptions{DontFillCache: true})
+	defer it.Release()
+	var b leveldb.Batch
+	for it.Next() {
+		b.Delete(it.Key())
+	}
+	if b.Len() == 0 {
+		return it.Error()
+	}
+	return v.db.Write(&b, nil)
+}
+
+// add never blocks the caller: completions come back to the same actor.
+func (v *Vault) add(j job) {
+	v.mu.Lock()
+	v.jobs = append(v.jobs, j)
+	v.mu.Unlock()
+	v.nudge()
+}
+
+func (v *Vault) nudge() {
+	select {
+	case v.more <- struct{}{}:
+	default:
+	}
+}
+
+// Save queues records; then runs once they are synced (or cannot be).
+func (v *Vault) Save(g unit.Group, recs []accord.Record, then func(error)) {
+	v.add(job{group: g, recs: recs, then: then})
+}
+
+// SaveSnapshot queues a snapshot; entries below it go once it is durable.
+func (v *Vault) SaveSnapshot(g unit.Group, s Snapshot, then func(error)) {
+	v.add(job{group: g, snap: &s, then: then})
+}
+
+// Load reads what the disk holds of a group.
+func (v *Vault) Load(g unit.Group) (boot accord.Boot, snap *Snapshot, err error) {
+	get := func(k []byte, into any) error {
+		b, err := v.db.Get(k, nil)
+		if errors.Is(err, leveldb.ErrNotFound) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		return cbor.Unmarshal(b, into)
+	}
+	var head headRow
+	if err := get(key(g, 'h', 0), &head); err != nil {
+		return boot, nil, unit.Err("read head", "disk", err)
+	}
+	var s Snapshot
+	if err := get(key(g, 's', 0), &s); err != nil {
+		return boot, nil, unit.Err("read snapshot", "disk", err)
+	}
+	boot.Promised, boot.Commit, boot.Base, boot.Eras = head.Promised, head.Commit, s.Slot, s.Eras
+	if s.Slot > boot.Commit {
+		boot.Commit = s.Slot
+	}
+	it := v.db.NewIterator(&util.Range{Start: key(g, 'e', 0), Limit: key(g, 'f', 0)}, &opt.ReadOptions{DontFillCache: true})
+	defer it.Release()
+	for it.Next() {
+		var row entryRow
+		if err := cbor.Unmarshal(it.Value(), &row); err != nil {
+			return boot, nil, unit.Err("read entry", "disk", err)
+		}
+		slot := unit.Slot(binary.BigEndian.Uint64(it.Key()[3:]))
+		boot.Entries = append(boot.Entries, accord.Entry{Slot: slot, Ballot: row.Ballot, Val: row.Val})
+	}
+	if err := it.Error(); err != nil {
+		return boot, nil, unit.Err("read entries", "disk", err)
+	}
+	if s.Slot > 0 || len(s.Eras) > 0 {
+		snap = &s
+	}
+	return boot, snap, nil
+}
+
+// Put and Get keep small rows of the process itself.
+func (v *Vault) Put(name string, val any) error {
+	b, err := cbor.Marshal(val)
+	if err != nil {
+		return unit.Err("encode "+name, "disk", err)
+	}
+	return unit.Err("write "+name, "disk", v.db.Put([]byte("m"+name), b, &opt.WriteOptions{Sync: true}))
+}
+
+// Get reads a row; false when there is none.
+func (v *Vault) Get(name string, into any) (bool, error) {
+	b, err := v.db.Get([]byte("m"+name), nil)
+	if errors.Is(err, leveldb.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, unit.Err("read "+name, "disk", err)
+	}
+	return true, unit.Err("decode "+name, "disk", cbor.Unmarshal(b, into))
+}
--- /dev/null
+++ b/internal/voice/parse.go
@@ -0,0 +1,192 @@
+// Package voice is the edge process: it speaks with clients, forwards what
+// they publish, and delivers the decided order to them.
+package voice
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"oxbowdeck/internal/unit"
+)
+
+// Words a client sends.
+const (
+	wAttach    = "ATTACH"
+	wSubscribe = "SUBSCRIBE"
+	wUnsub     = "UNSUB"
+	wPublish   = "PUBLISH"
+	wCensus    = "CENSUS"
+	wKeepalive = "KEEPALIVE"
+)
+
+// Causes of a REJECT.
+const (
+	cRetry     = "RETRY"
+	cUnknown   = "UNKNOWN"
+	cNoSpace   = "NOSPACE"
+	cTooLarge  = "TOOLARGE"
+	cMalformed = "MALFORMED"
+	cExpired   = "EXPIRED"
+)
+
+// Bounds of the protocol's grammar.
+const (
+	maxLine  = 1024
+	maxName  = 256
+	maxBody  = 16 << 10
+	minBody  = 20
+	maxSkip  = 256 << 10 // a longer body is not read past: the connection ends
+	maxField = 64
+)
+
+// word is one message of a client.
+type word struct {
+	verb  string
+	topic unit.Topic
+	arg   string // client id, or cursor
+	seq   unit.Seq
+	body  []byte
+	cause string // why it can't be taken; empty if it can
+	fatal bool   // the stream can't be read on after it
+}
+
+var errLine = errors.New("line too long or not closed by CRLF")
+
+// line reads one CRLF line.
+func line(r *bufio.Reader) (string, error) {
+	b, err := r.ReadSlice('\n')
+	if err == bufio.ErrBufferFull || err == nil && (len(b) < 2 || b[len(b)-2] != '\r' || len(b) > maxLine) {
+		return "", errLine
+	}
+	if err != nil {
+		return "", err
+	}
+	return string(b[:len(b)-2]), nil
+}
+
+func printable(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func bad(w word, cause string, fatal bool) (word, error) {
+	w.cause, w.fatal = cause, fatal
+	return w, nil
+}
+
+// read takes one message. An error means the connection ended; a word with a
+// cause is answered with it.
+func read(r *bufio.Reader) (word, error) {
+	l, err := line(r)
+	if err == errLine {
+		return bad(word{verb: "-"}, cMalformed, true)
+	}
+	if err != nil {
+		return word{}, err
+	}
+	f := strings.Split(l, " ")
+	w := word{verb: f[0]}
+	for i := range f {
+		if f[i] == "" || len(f[i]) > maxName || !printable(f[i]) {
+			if !printable(w.verb) || w.verb == "" {
+				w.verb = "-"
+			}
+			return bad(w, cMalformed, w.verb == wPublish)
+		}
+	}
+	field := func(i int) string {
+		if i < len(f) && f[i] != "-" {
+			return f[i]
+		}
+		return ""
+	}
+	switch w.verb {
+	case wAttach:
+		w.arg = field(1)
+		if len(f) < 2 || len(f) > 3 || w.arg == "" || field(2) != "" || len(w.arg) > maxField {
+			return bad(w, cMalformed, false)
+		}
+	case wSubscribe:
+		w.topic, w.arg = unit.Topic(field(1)), field(2)
+		if len(f) < 2 || len(f) > 3 || w.topic == "" {
+			return bad(w, cMalformed, false)
+		}
+	case wUnsub, wCensus:
+		w.topic = unit.Topic(field(1))
+		if len(f) != 2 || w.topic == "" {
+			return bad(w, cMalformed, false)
+		}
+	case wPublish:
+		return publish(r, w, f)
+	case wKeepalive:
+		if len(f) != 1 {
+			return bad(w, cMalformed, false)
+		}
+	default:
+		w.verb = w.verb[:min(len(w.verb), 32)]
+		return bad(w, cMalformed, false)
+	}
+	return w, nil
+}
+
+func publish(r *bufio.Reader, w word, f []string) (word, error) {
+	if len(f) != 4 {
+		return bad(w, cMalformed, true) // where the body ends is not known
+	}
+	n, err := strconv.ParseUint(f[3], 10, 31)
+	if err != nil {
+		return bad(w, cMalformed, true)
+	}
+	seq, serr := strconv.ParseUint(f[2], 10, 63)
+	w.topic, w.seq = unit.Topic(f[1]), unit.Seq(seq)
+	if n > maxBody {
+		if n > maxSkip {
+			return bad(w, cTooLarge, true)
+		}
+		if _, err := r.Discard(int(n) + 2); err != nil {
+			return w, err
+		}
+		return bad(w, cTooLarge, false)
+	}
+	body := make([]byte, n+2)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return w, err
+	}
+	if body[n] != '\r' || body[n+1] != '\n' {
+		return bad(w, cMalformed, true)
+	}
+	w.body = body[:n]
+	if serr != nil || seq == 0 || w.topic == "-" || n < minBody {
+		return bad(w, cMalformed, false)
+	}
+	for _, c := range w.body {
+		if c < ' ' || c > '~' {
+			return bad(w, cMalformed, false)
+		}
+	}
+	return w, nil
+}
+
+// reject writes a REJECT line, leaving off empty fields at the end.
+func reject(b []byte, verb string, topic unit.Topic, seq unit.Seq, cause string) []byte {
+	b = append(append(b, "REJECT "...), verb...)
+	b = append(b, ' ')
+	if topic == "" {
+		topic = "-"
+	}
+	b = append(append(b, topic...), ' ')
+	if seq == 0 {
+		b = append(b, '-')
+	} else {
+		b = strconv.AppendUint(b, uint64(seq), 10)
+	}
+	b = append(append(b, ' '), cause...)
+	return append(b, '\r', '\n')
+}
