Simulated runs of the engine found four faults; mended with tests

Cause, each found by a seed of internal/maze or while writing it: - batches were stamped with the leader's own steady clock, so a change of leader could make history look old and be let go of early; decided time is now what leaders' clocks measured while they led, one after the other; - the decided mark on disk could outlive the entry it spoke of (storm seed 54: instance 1 decided twice after a power loss); it now only covers synced entries; - a leader that learned decisions from others kept counting their bytes and stopped proposing (storm seed 417); the bytes in flight are counted afresh; - calls forwarded again filled the leader's batches with copies; taken once now.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -38,6 +38,12 @@
 	vow   bool // own promise becomes a vote once synced
 }
 
+// mark is what was decided when a token was given out.
+type mark struct {
+	token  uint64
+	commit unit.Slot
+}
+
 // Core is one replica of one group.
 type Core struct {
 	conf     Conf
@@ -55,6 +61,8 @@
 	askedAt  unit.Millis // last canvass or campaign
 	fetchAt  unit.Millis
 	tokens   uint64
+	firm     unit.Slot // decided, and every entry up to it is surely on the disk
+	firming  []mark
 	waits    []wait
 	eff      Effects
 	voices   map[unit.Num]bool // favours or promises so far
@@ -65,21 +73,25 @@
 	backSize int
 	repeats  []Entry // leader: instances to propose again, in order
 	open     []Request
+	taken    map[ID]bool // leader: requests submitted here and not decided yet
 	openSize int
 	openAt   unit.Millis
-	flight   int // bytes undecided
 	beatAt   unit.Millis
 	toldAt   unit.Slot // commit last told to the others
 	yielding bool      // the window is being finished before a hand-over
 	draining bool      // this replica leaves: it leads no more
 	seen     map[unit.Num]unit.Millis
 	seatNext []Member
-	told     unit.Slot // decided, by the leader's last word
+	told     unit.Slot   // decided, by the leader's last word
+	clock    unit.Millis // the highest decided time
+	ledAt    unit.Millis // when this leader's duty began, by its own steady clock
+	ledClock unit.Millis // the decided time it began at
+	openTime unit.Millis // decided time of the open batch
 }
 
 // New starts a replica from what its disk holds.
 func New(conf Conf, boot Boot, now unit.Millis) *Core {
-	c := &Core{conf: conf, promised: boot.Promised, log: map[unit.Slot]*slot{}, commit: boot.Base, base: boot.Base,
+	c := &Core{conf: conf, promised: boot.Promised, log: map[unit.Slot]*slot{}, commit: boot.Base, base: boot.Base, firm: boot.Commit, clock: boot.Clock,
 		eras: append([]Era(nil), boot.Eras...), heardAt: now, seen: map[unit.Num]unit.Millis{}}
 	for _, e := range boot.Entries {
 		if e.Slot <= boot.Base {
@@ -202,7 +214,7 @@
 }
 
 func (c *Core) save(r Record, w wait) {
-	r.Commit, r.Promised = c.commit, c.promised
+	r.Commit, r.Promised = c.firm, c.promised
 	c.eff.Saves = append(c.eff.Saves, r)
 	c.waits = append(c.waits, w)
 }
@@ -217,6 +229,7 @@
 				c.waits[i].token = c.tokens
 			}
 		}
+		c.firming = append(c.firming, mark{c.tokens, c.commit})
 	}
 	e := c.eff
 	c.eff = Effects{}
@@ -226,6 +239,10 @@
 // Synced tells that everything saved up to token is on the disk: answers held
 // back until then go out now.
 func (c *Core) Synced(now unit.Millis, token uint64) {
+	for len(c.firming) > 0 && c.firming[0].token <= token {
+		c.firm = c.firming[0].commit
+		c.firming = c.firming[1:]
+	}
 	n := 0
 	for _, w := range c.waits {
 		if w.token == 0 || w.token > token {
@@ -428,7 +445,8 @@
 
 func (c *Core) stepDown(now unit.Millis) {
 	if c.role == Leader {
-		c.open, c.openSize, c.backlog, c.backSize, c.repeats, c.flight = nil, 0, nil, 0, nil, 0
+		c.open, c.openSize, c.backlog, c.backSize, c.repeats = nil, 0, nil, 0, nil
+		c.taken = nil
 		for _, e := range c.log {
 			e.pending = false
 		}
@@ -506,13 +524,15 @@
 		}
 	}
 	c.role = Leader
+	c.ledAt, c.ledClock = now, c.clock
+	c.taken = map[ID]bool{}
 	c.leader, c.leadNode = c.promised, c.conf.Self.Node
 	c.next = c.commit + 1
 	c.repeats = nil
 	for s := c.commit + 1; s <= top; s++ {
 		c.repeats = append(c.repeats, Entry{Slot: s, Val: best[s].Val})
 	}
-	c.open, c.openSize, c.backlog, c.backSize, c.flight = nil, 0, nil, 0, 0
+	c.open, c.openSize, c.backlog, c.backSize = nil, 0, nil, 0
 	c.yielding = false
 	c.voices, c.offered = nil, nil
 	c.pump(now)
@@ -593,6 +613,12 @@
 			// what a majority accepted was encoded by a leader of this group
 			panic(unit.Errf("decode decided value", "", "group %d slot %d: %v", c.conf.Group, c.commit, err))
 		}
+		c.clock = max(c.clock, v.Stamp)
+		if c.role == Leader {
+			for _, r := range v.Reqs {
+				delete(c.taken, r.ID)
+			}
+		}
 		if len(v.Seats) > 0 {
 			c.eras = append(c.eras, Era{From: c.commit + unit.Slot(c.conf.Wnd), Seats: v.Seats})
 		}
@@ -611,7 +637,6 @@
 	e.acks[n] = true
 	if majority(c.seatsAt(s), e.acks) {
 		e.chosen, e.pending = true, false
-		c.flight -= len(e.val)
 		c.advance(now)
 	}
 }
@@ -621,6 +646,9 @@
 	if c.role != Leader || c.yielding {
 		return ErrNotLeader
 	}
+	if c.taken[r.ID] {
+		return nil // forwarded again while it waits: once is enough
+	}
 	size := len(r.Data) + len(r.ID.Origin) + 12
 	if c.openSize+c.backSize+size > c.conf.OpenBytes {
 		return ErrFull
@@ -630,7 +658,12 @@
 	}
 	if len(c.open) == 0 {
 		c.openAt = now // Δ_B runs from the first request of a batch
+		// Decided time is what leaders' steady clocks measured while they led,
+		// one after the other: it can lag true time, never run ahead of it, and no
+		// stepped clock can make history look old.
+		c.openTime = c.ledClock + now - c.ledAt
 	}
+	c.taken[r.ID] = true
 	c.open = append(c.open, r)
 	c.openSize += size
 	if c.openSize >= c.conf.Bsz {
@@ -657,7 +690,7 @@
 	if len(c.open) == 0 {
 		return
 	}
-	b := encode(Value{Stamp: c.openAt, Reqs: c.open})
+	b := encode(Value{Stamp: c.openTime, Reqs: c.open})
 	c.backlog = append(c.backlog, b)
 	c.backSize += len(b)
 	c.open, c.openSize = nil, 0
@@ -679,7 +712,7 @@
 			c.seatNext = nil
 		case len(c.backlog) > 0:
 			v = c.backlog[0]
-			if c.flight > 0 && c.flight+len(v) > c.conf.WndBytes {
+			if f := c.flight(); f > 0 && f+len(v) > c.conf.WndBytes {
 				c.tell(now)
 				return
 			}
@@ -701,7 +734,6 @@
 			continue
 		}
 		c.log[s] = &slot{bal: c.leader, val: v, pending: true, acks: map[unit.Num]bool{}, sentAt: now}
-		c.flight += len(v)
 		for _, m := range c.peers(true, true) {
 			c.send(m.Node, Msg{Kind: Accept, Ballot: c.leader, Slot: s, Commit: c.commit, Val: v})
 		}
@@ -711,6 +743,17 @@
 	c.tell(now)
 }
 
+// flight is the bytes of this leader's undecided instances.
+func (c *Core) flight() int {
+	n := 0
+	for s := c.commit + 1; s < c.next; s++ {
+		if e := c.log[s]; e != nil && e.pending {
+			n += len(e.val)
+		}
+	}
+	return n
+}
+
 // tell lets the others know of new decisions when no proposal carried them.
 func (c *Core) tell(now unit.Millis) {
 	if c.toldAt < c.commit {
@@ -807,11 +850,12 @@
 }
 
 // Install replaces the state up to slot with a snapshot's; false if it is old.
-func (c *Core) Install(now unit.Millis, at unit.Slot, eras []Era) bool {
+func (c *Core) Install(now unit.Millis, at unit.Slot, eras []Era, clock unit.Millis) bool {
 	if at <= c.commit {
 		return false
 	}
 	c.commit, c.base = at, at
+	c.clock = max(c.clock, clock)
 	c.eras = append([]Era(nil), eras...)
 	for s := range c.log {
 		if s <= at {
--- /dev/null
+++ b/internal/accord/core_test.go
@@ -0,0 +1,251 @@
+package accord
+
+import (
+	"testing"
+
+	"oxbowdeck/internal/unit"
+)
+
+var three = []Member{{Num: 1, Node: "a"}, {Num: 2, Node: "b"}, {Num: 3, Node: "c"}}
+
+func replica(num unit.Num, seats []Member, boot Boot) *Core {
+	boot.Eras = []Era{{Seats: seats}}
+	self := Member{Num: num, Node: unit.Node(rune('a' + num - 1))}
+	return New(Conf{Self: self, Wnd: 3, WndBytes: 1000, Bsz: 200, Delta: 10, Beat: 50, Patience: 200, Stagger: 50,
+		OpenBytes: 10000, FeedBytes: 1000, Impatience: 30}, boot, 0)
+}
+
+func kinds(e Effects, k Kind) (n int, last Msg) {
+	for _, s := range e.Sends {
+		if s.Msg.Kind == k {
+			n, last = n+1, s.Msg
+		}
+	}
+	return
+}
+
+// lead makes a core the leader at ballot round 1, with nothing decided.
+func lead(t *testing.T) *Core {
+	t.Helper()
+	c := replica(1, three, Boot{})
+	c.Tick(200)
+	c.Take(201, "b", Msg{Kind: Favor, From: 2, Yes: true})
+	e := c.Drain()
+	if n, _ := kinds(e, Prepare); n != 0 {
+		t.Fatal("prepare left before the candidate's own promise was on disk")
+	}
+	c.Synced(202, e.Token)
+	if n, _ := kinds(c.Drain(), Prepare); n != 2 {
+		t.Fatal("no prepare after the sync")
+	}
+	c.Take(203, "b", Msg{Kind: Promise, From: 2, Ballot: c.Promised()})
+	if c.Role() != Leader {
+		t.Fatalf("role %d, want leader", c.Role())
+	}
+	return c
+}
+
+func req(origin string, seq uint64, size int) Request {
+	return Request{ID: ID{Origin: origin, Seq: seq}, Data: make([]byte, size)}
+}
+
+func TestAnswersWaitForTheDisk(t *testing.T) {
+	c := replica(2, three, Boot{})
+	b := unit.MakeBallot(1, 1)
+	c.Take(1, "a", Msg{Kind: Prepare, From: 1, Ballot: b, Slot: 1})
+	e := c.Drain()
+	if n, _ := kinds(e, Promise); n != 0 || len(e.Saves) == 0 {
+		t.Fatal("promise left before it was on disk")
+	}
+	c.Synced(2, e.Token)
+	if n, _ := kinds(c.Drain(), Promise); n != 1 {
+		t.Fatal("no promise after the sync")
+	}
+	c.Take(3, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 1, Val: encode(Value{})})
+	e = c.Drain()
+	if n, _ := kinds(e, Accepted); n != 0 {
+		t.Fatal("accepted left before it was on disk")
+	}
+	c.Take(4, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 1, Val: encode(Value{})})
+	if n, _ := kinds(c.Drain(), Accepted); n != 0 {
+		t.Fatal("a repeat drew the answer before the sync")
+	}
+	c.Synced(5, e.Token)
+	if n, _ := kinds(c.Drain(), Accepted); n != 1 {
+		t.Fatal("no accepted after the sync")
+	}
+}
+
+func TestNewLeaderRepeatsTheHighestEpochAndFillsGaps(t *testing.T) {
+	old, young := encode(Value{Stamp: 1}), encode(Value{Stamp: 2})
+	// the candidate holds an older value of its own for slot 1
+	d := replica(1, three, Boot{Entries: []Entry{{Slot: 1, Ballot: unit.MakeBallot(2, 2), Val: old}}})
+	d.Tick(200)
+	d.Take(201, "b", Msg{Kind: Favor, From: 2, Ballot: d.Promised(), Yes: true})
+	e := d.Drain()
+	d.Synced(202, e.Token)
+	d.Drain()
+	d.Take(203, "c", Msg{Kind: Promise, From: 3, Ballot: d.Promised(), Entries: []Entry{
+		{Slot: 1, Ballot: unit.MakeBallot(2, 3), Val: young}, {Slot: 3, Ballot: unit.MakeBallot(2, 3), Val: old}}})
+	got := map[unit.Slot][]byte{}
+	for _, s := range d.Drain().Sends {
+		if s.Msg.Kind == Accept {
+			got[s.Msg.Slot] = s.Msg.Val
+		}
+	}
+	if string(got[1]) != string(young) {
+		t.Error("instance 1 was not repeated with the value of the highest epoch")
+	}
+	if v, ok := got[2]; !ok || len(v) != 0 {
+		t.Error("the gap at instance 2 was not filled with a no-op")
+	}
+	if string(got[3]) != string(old) {
+		t.Error("instance 3 was not repeated")
+	}
+}
+
+func TestBatchClosesAtBytesOrTimeout(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	c.Submit(300, req("x", 1, 50))
+	if n, _ := kinds(c.Drain(), Accept); n != 0 {
+		t.Fatal("a small batch left before its timeout")
+	}
+	if w := c.NextWake(); w > 310 {
+		t.Fatalf("wakes at %d, the batch is due at 310", w)
+	}
+	c.Submit(305, req("x", 2, 50))
+	c.Tick(309)
+	if n, _ := kinds(c.Drain(), Accept); n != 0 {
+		t.Fatal("the timeout runs from the first request of the batch")
+	}
+	c.Tick(310)
+	n, m := kinds(c.Drain(), Accept)
+	v, err := decode(m.Val)
+	if n != 2 || err != nil || len(v.Reqs) != 2 {
+		t.Fatalf("after the timeout: %d accepts of %d requests", n, len(v.Reqs))
+	}
+	c.Submit(311, req("x", 3, 150))
+	c.Submit(311, req("x", 4, 150))
+	if n, _ := kinds(c.Drain(), Accept); n != 2 {
+		t.Fatal("a full batch waited")
+	}
+}
+
+func TestWindowByCountAndByBytes(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	for i := 0; i < 10; i++ {
+		c.Submit(300, req("x", uint64(i), 199))
+	}
+	if n, _ := c.Pending(); n != 3 {
+		t.Fatalf("%d undecided instances, WND is 3", n)
+	}
+	c = lead(t)
+	c.Drain()
+	for i := 0; i < 3; i++ {
+		c.Submit(300, req("x", uint64(i), 700))
+	}
+	if n, _ := c.Pending(); n != 1 {
+		t.Fatalf("%d undecided instances of 700 bytes, the bound is 1000 bytes", n)
+	}
+}
+
+func TestForwardedAgainIsTakenOnce(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	for i := 0; i < 5; i++ {
+		if err := c.Submit(300, req("x", 1, 50)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Tick(310)
+	_, m := kinds(c.Drain(), Accept)
+	if v, _ := decode(m.Val); len(v.Reqs) != 1 {
+		t.Fatalf("%d copies in the batch", len(v.Reqs))
+	}
+}
+
+func TestDrainFinishesTheWindowFirst(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	c.Submit(300, req("x", 1, 300))
+	e := c.Drain()
+	c.Yield(301)
+	if n, _ := kinds(c.Drain(), Yield); n != 0 || c.Role() != Leader {
+		t.Fatal("handed over with an instance undecided")
+	}
+	if err := c.Submit(302, req("x", 2, 10)); err != ErrNotLeader {
+		t.Fatalf("a draining leader took a request: %v", err)
+	}
+	c.Synced(303, e.Token)
+	c.Take(304, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
+	if n, _ := kinds(c.Drain(), Yield); n != 1 || c.Role() == Leader {
+		t.Fatal("not handed over once the window was empty")
+	}
+	if c.NextWake() != never {
+		t.Fatal("a drained replica would campaign again")
+	}
+}
+
+func TestMembershipChangeTakesEffectWndLater(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	four := append(append([]Member(nil), three[:2]...), Member{Num: 9, Node: "c"})
+	if err := c.Reseat(300, four); err != nil {
+		t.Fatal(err)
+	}
+	e := c.Drain()
+	c.Synced(301, e.Token)
+	c.Take(302, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
+	if c.Commit() != 1 || c.Eras()[len(c.Eras())-1].From != 4 {
+		t.Fatalf("decided at %d, in force from %d, want 4", c.Commit(), c.Eras()[len(c.Eras())-1].From)
+	}
+	// until then the old members decide: the new number has no vote on 2 and 3
+	e = c.Drain()
+	c.Synced(303, e.Token)
+	c.Take(304, "c", Msg{Kind: Accepted, From: 9, Ballot: c.leader, Slot: 2})
+	if c.Commit() != 1 {
+		t.Fatal("a number not yet in force decided an instance")
+	}
+	c.Take(305, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 2})
+	if c.Commit() != 2 {
+		t.Fatal("the members in force did not decide")
+	}
+}
+
+func TestDecidedTimeNeverRunsAhead(t *testing.T) {
+	c := replica(1, three, Boot{Clock: 5000})
+	c.Tick(900000) // this machine's steady clock is far from any other's
+	c.Take(900001, "b", Msg{Kind: Favor, From: 2, Yes: true})
+	e := c.Drain()
+	c.Synced(900002, e.Token)
+	c.Drain()
+	c.Take(900003, "b", Msg{Kind: Promise, From: 2, Ballot: c.Promised()})
+	c.Drain()
+	c.Submit(900103, req("x", 1, 300))
+	_, m := kinds(c.Drain(), Accept)
+	if v, _ := decode(m.Val); v.Stamp != 5100 {
+		t.Fatalf("stamp %d, want 100 ms after the decided time 5000", v.Stamp)
+	}
+}
+
+func TestDecidedMarkWaitsForItsEntries(t *testing.T) {
+	c := replica(2, three, Boot{})
+	b := unit.MakeBallot(1, 1)
+	c.Take(1, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 1, Val: encode(Value{})})
+	first := c.Drain()
+	c.Take(2, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 2, Commit: 1, Val: encode(Value{})})
+	second := c.Drain()
+	if r := second.Saves[0]; c.Commit() != 1 || r.Commit != 0 {
+		t.Fatalf("decided %d; the record says %d while entry 1 is not on disk", c.Commit(), r.Commit)
+	}
+	c.Synced(3, first.Token)
+	c.Take(4, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 3, Commit: 1, Val: encode(Value{})})
+	c.Synced(5, second.Token)
+	c.Take(6, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 4, Commit: 1, Val: encode(Value{})})
+	e := c.Drain()
+	if r := e.Saves[len(e.Saves)-1]; r.Commit != 1 {
+		t.Fatalf("the record says %d once entry 1 is on disk", r.Commit)
+	}
+}
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -165,6 +165,7 @@
 	Commit   unit.Slot // instances up to here are decided and in Entries (above Base)
 	Base     unit.Slot // the snapshot covers instances up to here
 	Eras     []Era
+	Clock    unit.Millis // decided time of the snapshot
 }
 
 func decode(raw []byte) (Value, error) {
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -71,6 +71,7 @@
 	Apply(d accord.Decided)
 	Save() ([]byte, error)
 	Load([]byte) error
+	Clock() unit.Millis // the decided time it stands at
 }
 
 // Part is one group's replica.
@@ -119,6 +120,7 @@
 	if len(boot.Eras) == 0 {
 		boot.Eras = []accord.Era{{From: 0, Seats: genesis}}
 	}
+	boot.Clock = m.Clock()
 	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group}
 	ch.Parts[conf.Group] = p
 	ch.flush(p)
@@ -238,9 +240,9 @@
 			unit.Log("snapshot-refused", "peer", from, "err", err)
 			return true
 		}
-		p.Core.Install(unit.Steady(), f.Snap.Slot, f.Snap.Eras)
+		p.Core.Install(unit.Steady(), f.Snap.Slot, f.Snap.Eras, p.Machine.Clock())
 		unit.Log("snapshot-taken", "group", f.Group, "peer", from, "slot", f.Snap.Slot)
-		ch.flush(p)
+		// the snapshot goes down before anything that counts on it
 		p.saving, p.logged = true, 0
 		ch.Vault.SaveSnapshot(f.Group, f.Snap, func(err error) {
 			ch.Actor.Do(func() {
@@ -250,6 +252,7 @@
 				}
 			})
 		})
+		ch.flush(p)
 	default:
 		return false
 	}
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -156,6 +156,9 @@
 	}
 }
 
+// Clock: nothing in norm's state depends on time.
+func (d *Daemon) Clock() unit.Millis { return 0 }
+
 func (d *Daemon) Save() ([]byte, error) { return cbor.Marshal(&d.state) }
 
 func (d *Daemon) Load(b []byte) error {
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -196,6 +196,8 @@
 	})
 }
 
+func (s *shard) Clock() unit.Millis { return s.state.Clock() }
+
 func (s *shard) Save() ([]byte, error) { return s.state.Save() }
 
 // Load takes a snapshot. Followers must begin again: what it skips was not
--- /dev/null
+++ b/internal/maze/maze.go
@@ -0,0 +1,737 @@
+// Package maze runs the real engine and the real shard state on a simulated
+// network, simulated disks and simulated clocks, with troubles drawn from a
+// seed, and checks the rules after every step. The same seed gives the same
+// run, so a failing one can be run again.
+package maze
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/tale"
+	"oxbowdeck/internal/unit"
+)
+
+// Plan says what a run is made of.
+type Plan struct {
+	Seed     int64
+	Voters   int
+	Learners int
+	For      unit.Millis // troubles go on this long; then the world heals
+	Conf     accord.Conf
+	Bounds   tale.Bounds
+	Loss     float64 // share of messages lost
+	Twice    float64 // share of messages delivered twice
+	Troubles []string
+	Every    unit.Millis // mean pause between troubles
+	Rate     unit.Millis // mean pause between publishes
+	SnapAt   int
+	Sync     unit.Millis  // a disk's sync takes up to this long
+	Reckless bool         // troubles strike however many nodes are down already
+	Log      func(string) // each step, if wanted
+}
+
+// All troubles a run may draw.
+var All = []string{"crash", "power", "cut", "slow", "wipe", "drain"}
+
+// Storm is what only durability is promised under: more strike at once than
+// the group can serve through.
+var Storm = []string{"power", "power", "dark", "split", "drain", "wipe"}
+
+type event struct {
+	at  unit.Millis
+	seq int
+	run func()
+}
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	o := *e
+	x := o[len(o)-1]
+	*e = o[:len(o)-1]
+	return x
+}
+
+// disk is what survives: synced writes, and, after power loss, any of the rest.
+type disk struct {
+	head    accord.Record
+	entries map[unit.Slot]accord.Entry
+	snap    *snap
+	pending []write
+	busy    bool
+}
+
+type write struct {
+	recs  []accord.Record
+	snap  *snap
+	token uint64
+}
+
+type snap struct {
+	slot  unit.Slot
+	eras  []accord.Era
+	state []byte
+	clock unit.Millis
+}
+
+func (d *disk) apply(w write) {
+	for _, r := range w.recs {
+		d.head = accord.Record{Promised: r.Promised, Commit: r.Commit}
+		if r.Entry != nil {
+			d.entries[r.Entry.Slot] = *r.Entry
+		}
+	}
+	if w.snap != nil {
+		d.snap = w.snap
+		for s := range d.entries {
+			if s <= w.snap.slot {
+				delete(d.entries, s)
+			}
+		}
+	}
+}
+
+// node is one replica.
+type node struct {
+	member accord.Member
+	core   *accord.Core
+	state  *tale.State
+	disk   *disk
+	up     bool
+	life   int
+	cut    bool
+	slow   unit.Millis
+	bytes  int
+	skew   unit.Millis // its steady clock began at another moment
+}
+
+// World is a run.
+type World struct {
+	plan    Plan
+	rng     *rand.Rand
+	now     unit.Millis
+	queue   events
+	seq     int
+	nodes   []*node
+	seats   []accord.Member // the founding members
+	want    []accord.Member // the membership wanted
+	nextNum unit.Num
+	healed  bool
+
+	chosen  map[unit.Slot][]byte
+	digests map[unit.Slot][]byte
+	acked   map[key]unit.Pos
+	refused map[key]bool
+	sent    map[key]unit.Topic
+	open    map[key]*call
+	seqs    map[unit.Client]unit.Seq
+	steps   int
+	err     error
+
+	Decided, Acked, Refused, Elections int
+	leadSeen                           map[unit.Ballot]bool
+}
+
+type key struct {
+	client unit.Client
+	seq    unit.Seq
+}
+
+type call struct {
+	topic unit.Topic
+	body  []byte
+	at    unit.Millis
+}
+
+// New makes a world.
+func New(p Plan) *World {
+	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed)), chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{},
+		acked: map[key]unit.Pos{}, refused: map[key]bool{}, sent: map[key]unit.Topic{}, open: map[key]*call{},
+		seqs: map[unit.Client]unit.Seq{}, leadSeen: map[unit.Ballot]bool{}}
+	for i := 0; i < p.Voters+p.Learners; i++ {
+		w.nextNum++
+		m := accord.Member{Num: w.nextNum, Node: unit.Node(fmt.Sprintf("n%d", i))}
+		w.nodes = append(w.nodes, &node{member: m, disk: &disk{entries: map[unit.Slot]accord.Entry{}}, skew: unit.Millis(w.rng.Intn(1000000))})
+		if i < p.Voters {
+			w.seats = append(w.seats, m)
+		}
+	}
+	w.want = append([]accord.Member(nil), w.seats...)
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	return w
+}
+
+func (w *World) fail(format string, a ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf("seed %d, step %d, at %d ms: %s", w.plan.Seed, w.steps, w.now, fmt.Sprintf(format, a...))
+	}
+}
+
+func (w *World) logf(format string, a ...any) {
+	if w.plan.Log != nil {
+		w.plan.Log(fmt.Sprintf("step=%d at=%d ", w.steps, w.now) + fmt.Sprintf(format, a...))
+	}
+}
+
+func (w *World) after(d unit.Millis, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + max(d, 0), w.seq, f})
+}
+
+func (w *World) clock(n *node) unit.Millis { return w.now + n.skew }
+
+func (w *World) start(n *node) {
+	n.up = true
+	n.life++
+	n.state = tale.New(w.plan.Bounds)
+	boot := accord.Boot{Promised: n.disk.head.Promised, Commit: n.disk.head.Commit}
+	boot.Eras = []accord.Era{{From: 0, Seats: w.seats}}
+	if s := n.disk.snap; s != nil {
+		if err := n.state.Load(s.state); err != nil {
+			w.fail("load: %v", err)
+		}
+		boot.Base, boot.Eras, boot.Clock = s.slot, s.eras, s.clock
+		boot.Commit = max(boot.Commit, s.slot)
+	}
+	for _, e := range n.disk.entries {
+		boot.Entries = append(boot.Entries, e)
+	}
+	sort.Slice(boot.Entries, func(i, j int) bool { return boot.Entries[i].Slot < boot.Entries[j].Slot })
+	conf := w.plan.Conf
+	conf.Self = n.member
+	n.core = accord.New(conf, boot, w.clock(n))
+	w.learners(n)
+	w.logf("start node=%s num=%d commit=%d promised=%d", n.member.Node, n.member.Num, n.core.Commit(), boot.Promised)
+	w.flush(n)
+	w.wake(n)
+}
+
+func (w *World) learners(n *node) {
+	var all []accord.Member
+	for _, x := range w.nodes {
+		all = append(all, x.member)
+	}
+	n.core.SetLearners(all)
+}
+
+func (w *World) wake(n *node) {
+	life := n.life
+	wait := min(max(n.core.NextWake()-w.clock(n), 1), 50)
+	w.after(wait, func() {
+		if n.up && n.life == life {
+			n.core.Tick(w.clock(n))
+			w.flush(n)
+			w.wake(n)
+		}
+	})
+}
+
+// flush carries out what the engine wants.
+func (w *World) flush(n *node) {
+	for w.err == nil {
+		e := n.core.Drain()
+		if len(e.Saves)+len(e.Sends)+len(e.Decided)+len(e.Snaps) == 0 {
+			break
+		}
+		if len(e.Saves) > 0 {
+			w.store(n, write{recs: e.Saves, token: e.Token})
+		}
+		for _, s := range e.Sends {
+			w.checkSend(n, s.Msg)
+			w.send(n, s)
+		}
+		for _, d := range e.Decided {
+			w.decided(n, d)
+		}
+		for _, to := range e.Snaps {
+			w.sendSnap(n, to)
+		}
+	}
+	if n.core.Role() == accord.Leader {
+		b, _ := n.core.Lead()
+		if !w.leadSeen[b] {
+			w.leadSeen[b] = true
+			w.Elections++
+			w.logf("leader node=%s epoch=%d", n.member.Node, b.Round())
+		}
+		if k, _ := n.core.Pending(); k > w.plan.Conf.Wnd {
+			w.fail("window: %d undecided instances, WND is %d", k, w.plan.Conf.Wnd)
+		}
+	}
+	if n.bytes > w.plan.SnapAt && w.plan.SnapAt > 0 {
+		n.bytes = 0
+		b, err := n.state.Save()
+		if err != nil {
+			w.fail("save: %v", err)
+			return
+		}
+		s := &snap{slot: n.core.Commit(), eras: append([]accord.Era(nil), n.core.Eras()...), state: b, clock: n.state.Clock()}
+		w.store(n, write{snap: s})
+	}
+}
+
+// store queues a write; the disk syncs one after the other.
+func (w *World) store(n *node, x write) {
+	n.disk.pending = append(n.disk.pending, x)
+	if !n.disk.busy {
+		w.sync(n)
+	}
+}
+
+func (w *World) sync(n *node) {
+	life, d := n.life, n.disk
+	count := len(d.pending)
+	d.busy = true
+	w.after(1+unit.Millis(w.rng.Int63n(int64(w.plan.Sync)))+n.slow, func() {
+		if n.life != life || n.disk != d {
+			return
+		}
+		done := d.pending[:count]
+		d.pending = append([]write(nil), d.pending[count:]...)
+		for _, x := range done {
+			d.apply(x)
+		}
+		for _, x := range done {
+			if x.snap != nil {
+				n.core.Trim(x.snap.slot)
+			} else {
+				n.core.Synced(w.clock(n), x.token)
+			}
+		}
+		d.busy = false
+		if len(d.pending) > 0 {
+			w.sync(n)
+		}
+		w.flush(n)
+	})
+}
+
+func (w *World) find(a unit.Node) *node {
+	for _, n := range w.nodes {
+		if n.member.Node == a {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *World) delay(n *node) unit.Millis { return 1 + unit.Millis(w.rng.Intn(3)) + n.slow }
+
+func (w *World) send(n *node, s accord.Envelope) {
+	to := w.find(s.To)
+	copies := 1
+	if !w.healed && w.rng.Float64() < w.plan.Loss {
+		copies = 0
+	}
+	if !w.healed && w.rng.Float64() < w.plan.Twice {
+		copies++
+	}
+	raw, err := cbor.Marshal(s.Msg)
+	if err != nil {
+		w.fail("encode: %v", err)
+	}
+	for ; copies > 0; copies-- {
+		w.after(w.delay(n), func() {
+			if n.cut || to.cut || !to.up {
+				return
+			}
+			var m accord.Msg
+			if err := cbor.Unmarshal(raw, &m); err != nil {
+				w.fail("decode: %v", err)
+				return
+			}
+			to.core.Take(w.clock(to), n.member.Node, m)
+			w.flush(to)
+		})
+	}
+}
+
+func (w *World) sendSnap(n *node, a unit.Node) {
+	to := w.find(a)
+	b, err := n.state.Save()
+	if err != nil {
+		w.fail("save: %v", err)
+		return
+	}
+	s := &snap{slot: n.core.Commit(), eras: append([]accord.Era(nil), n.core.Eras()...), state: b, clock: n.state.Clock()}
+	w.after(w.delay(n), func() {
+		if n.cut || to.cut || !to.up || s.slot <= to.core.Commit() {
+			return
+		}
+		if err := to.state.Load(s.state); err != nil {
+			w.fail("load: %v", err)
+			return
+		}
+		to.core.Install(w.clock(to), s.slot, s.eras, s.clock)
+		w.logf("snapshot node=%s slot=%d", to.member.Node, s.slot)
+		w.store(to, write{snap: s})
+		w.flush(to)
+	})
+}
+
+// checkSend checks the bounds of batches and window on what goes out.
+func (w *World) checkSend(n *node, m accord.Msg) {
+	if m.Kind != accord.Accept {
+		return
+	}
+	if m.Slot > n.core.Commit()+unit.Slot(w.plan.Conf.Wnd) {
+		w.fail("window: instance %d proposed above %d decided, WND is %d", m.Slot, n.core.Commit(), w.plan.Conf.Wnd)
+	}
+	v, err := accord.Decode(m.Val)
+	if err != nil {
+		w.fail("batch unreadable: %v", err)
+		return
+	}
+	size := 0
+	for _, r := range v.Reqs {
+		size += len(r.Data)
+	}
+	if len(v.Reqs) > 1 && size > w.plan.Conf.Bsz {
+		w.fail("batch: %d bytes, BSZ is %d", size, w.plan.Conf.Bsz)
+	}
+}
+
+func (w *World) decided(n *node, d accord.Decided) {
+	if old, ok := w.chosen[d.Slot]; ok && !bytes.Equal(old, d.Raw) {
+		w.fail("instance %d decided twice, node %s differs", d.Slot, n.member.Node)
+		return
+	}
+	if _, ok := w.chosen[d.Slot]; !ok {
+		w.chosen[d.Slot] = append([]byte{}, d.Raw...)
+		w.Decided++
+	}
+	if d.Slot != n.state.Slot()+1 {
+		w.fail("node %s applies %d after %d", n.member.Node, d.Slot, n.state.Slot())
+	}
+	var last accord.ID
+	first := true
+	n.state.Apply(d, func(e tale.Event) {
+		if !first && (e.ID.Origin < last.Origin || e.ID.Origin == last.Origin && e.ID.Seq <= last.Seq) {
+			w.fail("order in instance %d: %v after %v", d.Slot, e.ID, last)
+		}
+		last, first = e.ID, false
+		if e.Cmd.Verb == tale.Publish {
+			w.verdict(e)
+		}
+	})
+	n.bytes += len(d.Raw) + 32
+	if d.Slot%8 == 0 {
+		b, err := n.state.Save()
+		if err != nil {
+			w.fail("save: %v", err)
+		}
+		if old, ok := w.digests[d.Slot]; ok && !bytes.Equal(old, b) {
+			w.fail("state at %d differs on node %s", d.Slot, n.member.Node)
+		}
+		w.digests[d.Slot] = b
+	}
+}
+
+func (w *World) verdict(e tale.Event) {
+	k := key{e.Cmd.Client, e.Cmd.Seq}
+	switch e.Verdict {
+	case tale.Fresh:
+		if w.refused[k] {
+			w.fail("%v was refused for good, then accepted", k)
+		}
+		if p, ok := w.acked[k]; ok && p != e.Pos {
+			w.fail("%v accepted at %v and at %v", k, p, e.Pos)
+		}
+		if _, ok := w.acked[k]; !ok {
+			w.Acked++
+		}
+		w.acked[k] = e.Pos
+		delete(w.open, k)
+	case tale.Again:
+		if _, ok := w.acked[k]; !ok {
+			w.fail("%v answered as accepted, which it never was", k)
+		}
+	case tale.Refused:
+		if _, ok := w.acked[k]; ok {
+			w.fail("%v was accepted, then refused", k)
+		}
+		if !w.refused[k] {
+			w.Refused++
+		}
+		w.refused[k] = true
+		delete(w.open, k)
+	}
+}
+
+// publish is a client's call, and its repeats until it is answered.
+func (w *World) publish() {
+	c := unit.Client(fmt.Sprintf("c%d", w.rng.Intn(6)))
+	w.seqs[c]++
+	k := key{c, w.seqs[c]}
+	body := make([]byte, 20+w.rng.Intn(400))
+	for i := range body {
+		body[i] = byte('a' + w.rng.Intn(26))
+	}
+	x := &call{topic: unit.Topic(fmt.Sprintf("t%d", w.rng.Intn(4))), body: body, at: w.now}
+	w.open[k] = x
+	w.sent[k] = x.topic
+	w.try(k, x)
+}
+
+func (w *World) try(k key, x *call) {
+	if w.open[k] != x {
+		return
+	}
+	data, err := cbor.Marshal(tale.Command{Verb: tale.Publish, Topic: x.topic, Client: k.client, Seq: k.seq, Body: x.body, Keep: 2000, Edge: "e"})
+	if err != nil {
+		w.fail("encode: %v", err)
+	}
+	req := accord.Request{ID: accord.ID{Origin: string(k.client), Seq: uint64(k.seq)}, Data: data}
+	for _, n := range w.nodes {
+		if n.up && n.core.Role() == accord.Leader && !n.cut {
+			w.after(w.delay(n), func() {
+				if n.up && n.core.Role() == accord.Leader {
+					n.core.Submit(w.clock(n), req)
+					w.flush(n)
+				}
+			})
+		}
+	}
+	w.after(100+unit.Millis(w.rng.Intn(200)), func() { w.try(k, x) })
+}
+
+// trouble strikes one node; no more than the group bears are lost at once.
+func (w *World) trouble() {
+	kind := w.plan.Troubles[w.rng.Intn(len(w.plan.Troubles))]
+	n := w.nodes[w.rng.Intn(len(w.nodes))]
+	bad := 0
+	for _, x := range w.nodes {
+		if !x.up || x.cut {
+			bad++
+		}
+	}
+	if kind == "wipe" && (bad > 0 || !w.calm()) || bad >= (w.plan.Voters-1)/2 && !w.plan.Reckless || !n.up || n.cut {
+		return
+	}
+	for_ := unit.Millis(100 + w.rng.Intn(1500))
+	w.logf("trouble kind=%s node=%s for=%d", kind, n.member.Node, for_)
+	switch kind {
+	case "crash": // the process dies; its files stay as they were written
+		for _, x := range n.disk.pending {
+			n.disk.apply(x)
+		}
+		w.stop(n)
+		w.after(for_, func() { w.start(n) })
+	case "power": // unsynced writes: each present, missing or torn (which reads as missing)
+		w.lose(n)
+		w.after(for_, func() { w.start(n) })
+	case "dark": // every machine at once
+		for _, x := range w.nodes {
+			if x.up {
+				w.lose(x)
+				w.after(for_+unit.Millis(w.rng.Intn(300)), func() { w.start(x) })
+			}
+		}
+	case "split": // all but one pair apart
+		for _, x := range w.nodes {
+			if x.up && !x.cut && w.rng.Intn(2) == 0 {
+				x.cut = true
+				w.after(for_, func() { x.cut = false })
+			}
+		}
+	case "cut":
+		n.cut = true
+		w.after(for_, func() { n.cut = false })
+	case "slow":
+		n.slow = unit.Millis(5 + w.rng.Intn(150))
+		w.after(for_, func() { n.slow = 0 })
+	case "wipe": // it comes back empty, under a number that never voted
+		w.stop(n)
+		w.wipe(n)
+		w.after(for_, func() {
+			w.start(n)
+			for _, x := range w.nodes {
+				if x.up {
+					w.learners(x)
+				}
+			}
+		})
+	case "drain":
+		n.core.Yield(w.clock(n))
+		w.flush(n)
+		life := n.life
+		w.after(100, func() {
+			if n.up && n.life == life {
+				for _, x := range n.disk.pending {
+					n.disk.apply(x)
+				}
+				w.stop(n)
+				w.after(for_, func() { w.start(n) })
+			}
+		})
+	}
+}
+
+// lose takes a machine's power: each write not yet synced is there or not.
+func (w *World) lose(n *node) {
+	for _, x := range n.disk.pending {
+		if w.rng.Intn(2) == 0 {
+			n.disk.apply(x)
+		}
+	}
+	w.stop(n)
+}
+
+// wipe takes a stopped node's disk; its next life has a number of its own.
+func (w *World) wipe(n *node) {
+	n.disk = &disk{entries: map[unit.Slot]accord.Entry{}}
+	old := n.member.Num
+	w.nextNum++
+	n.member.Num = w.nextNum
+	for i := range w.want {
+		if w.want[i].Num == old {
+			w.want[i].Num = n.member.Num
+		}
+	}
+}
+
+// calm: the membership in force is the one wanted.
+func (w *World) calm() bool {
+	for _, n := range w.nodes {
+		if n.up && n.core.Role() == accord.Leader && len(n.core.Eras()) == 1 && same(n.core.Seats(), w.want) {
+			return true
+		}
+	}
+	return false
+}
+
+func same(a, b []accord.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// reseat is the control plane's part: the leader is asked for the membership
+// wanted until it is in force.
+func (w *World) reseat() {
+	for _, n := range w.nodes {
+		if n.up && n.core.Role() == accord.Leader && !same(n.core.Seats(), w.want) {
+			n.core.Reseat(w.clock(n), append([]accord.Member(nil), w.want...))
+			w.flush(n)
+		}
+	}
+	w.after(200, w.reseat)
+}
+
+func (w *World) stop(n *node) {
+	n.up = false
+	n.life++
+	n.disk.pending, n.disk.busy = nil, false
+	for _, x := range w.nodes {
+		if x.up && w.rng.Intn(2) == 0 { // a broken connection tells, when it tells at all
+			x.core.Down(w.clock(x), n.member.Node)
+			w.flush(x)
+		}
+	}
+}
+
+// Run plays the plan out and gives the first rule broken, or nil.
+func (w *World) Run() error {
+	var troubles, calls func()
+	troubles = func() {
+		if !w.healed {
+			w.trouble()
+			w.after(w.plan.Every/2+unit.Millis(w.rng.Int63n(int64(w.plan.Every))), troubles)
+		}
+	}
+	calls = func() {
+		if !w.healed {
+			w.publish()
+			w.after(unit.Millis(w.rng.Int63n(int64(2*w.plan.Rate))), calls)
+		}
+	}
+	w.after(w.plan.Every, troubles)
+	w.after(200, w.reseat)
+	w.after(500, calls)
+	w.after(w.plan.For, func() { w.healed = true })
+	end := w.plan.For + 8000
+	for len(w.queue) > 0 && w.err == nil && w.now < end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		w.steps++
+		e.run()
+	}
+	if w.err == nil {
+		w.final()
+	}
+	return w.err
+}
+
+// final checks what must hold once the world has healed: every call answered,
+// every replica level, every accepted message kept while young, once, in order.
+func (w *World) final() {
+	if len(w.open) > 0 {
+		w.fail("%d calls are still open %d ms after the world healed", len(w.open), w.now-w.plan.For)
+	}
+	top := unit.Slot(0)
+	for _, n := range w.nodes {
+		top = max(top, n.core.Commit())
+	}
+	for _, n := range w.nodes {
+		if n.core.Commit() != top {
+			w.fail("node %s stands at %d, others at %d", n.member.Node, n.core.Commit(), top)
+			continue
+		}
+		if n.core.Role() == accord.Leader && !same(n.core.Seats(), w.want) {
+			w.fail("membership %v, wanted %v", n.core.Seats(), w.want)
+		}
+		held := map[key]bool{}
+		for t := 0; t < 4; t++ {
+			topic := unit.Topic(fmt.Sprintf("t%d", t))
+			items, _ := n.state.After(topic, 0)
+			high := map[unit.Client]unit.Seq{}
+			var last unit.Pos
+			for _, it := range items {
+				k := key{it.Client, it.Seq}
+				switch {
+				case held[k]:
+					w.fail("%v twice on node %s", k, n.member.Node)
+				case it.Pos <= last:
+					w.fail("%v out of place on node %s", k, n.member.Node)
+				case it.Seq <= high[it.Client]:
+					w.fail("%v passed by a later one on node %s", k, n.member.Node)
+				case w.refused[k]:
+					w.fail("%v was refused, and is held on node %s", k, n.member.Node)
+				case w.sent[k] != topic:
+					w.fail("%v was sent on %s, is held on %s", k, w.sent[k], topic)
+				case w.acked[k] != it.Pos:
+					w.fail("%v is held at %v, was accepted at %v", k, it.Pos, w.acked[k])
+				}
+				held[k], last = true, it.Pos
+				high[it.Client] = it.Seq
+			}
+		}
+		for k, p := range w.acked {
+			if t := w.sent[k]; !held[k] {
+				if _, whole := n.state.After(t, p-1); whole {
+					w.fail("accepted %v is lost on node %s", k, n.member.Node)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/maze/maze_test.go
@@ -0,0 +1,130 @@
+package maze
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/tale"
+)
+
+func plan(seed int64) Plan {
+	return Plan{
+		Seed: seed, Voters: 3, Learners: 1, For: 12000,
+		Conf: accord.Conf{Wnd: 4, WndBytes: 4000, Bsz: 1500, Delta: 8, Beat: 60, Patience: 250, Stagger: 60,
+			OpenBytes: 1 << 20, FeedBytes: 3000, Impatience: 40},
+		Bounds: tale.Bounds{Slack: 1000, Resend: 10000, Marks: 10000, Topics: 100, Live: 1000, SweepMs: 200},
+		Loss:   0.02, Twice: 0.02, Troubles: All, Every: 400, Rate: 15, SnapAt: 30000, Sync: 6,
+	}
+}
+
+// seeds are fixed; MAZE_SEED runs one again with its steps printed.
+func seeds(t *testing.T, n int, f func(Plan) Plan) {
+	if v, err := strconv.Atoi(os.Getenv("MAZE_SEEDS")); err == nil {
+		n = v
+	}
+	from, to := int64(1), int64(n)
+	if s := os.Getenv("MAZE_SEED"); s != "" {
+		v, err := strconv.ParseInt(s, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		from, to = v, v
+	}
+	for s := from; s <= to; s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			t.Parallel()
+			p := f(plan(s))
+			if os.Getenv("MAZE_SEED") != "" {
+				p.Log = func(l string) { t.Log(l) }
+			}
+			w := New(p)
+			if err := w.Run(); err != nil {
+				t.Fatalf("%v\nagain: MAZE_SEED=%d go test ./internal/maze -run '%s' -v", err, s, t.Name())
+			}
+			if w.Acked < 100 || w.Elections < 1 {
+				t.Fatalf("seed %d: nothing happened: %d accepted, %d elections", s, w.Acked, w.Elections)
+			}
+		})
+	}
+}
+
+func TestAllTroubles(t *testing.T) { seeds(t, 40, func(p Plan) Plan { return p }) }
+
+func TestPowerAndLostDisks(t *testing.T) {
+	seeds(t, 20, func(p Plan) Plan {
+		p.Seed += 1000
+		p.Troubles = []string{"power", "wipe"}
+		p.SnapAt = 8000
+		return p
+	})
+}
+
+func TestLeadersComeAndGo(t *testing.T) {
+	seeds(t, 20, func(p Plan) Plan {
+		p.Seed += 2000
+		p.Troubles = []string{"drain", "cut", "slow"}
+		p.Every, p.Loss = 250, 0.08
+		return p
+	})
+}
+
+func TestFiveVoters(t *testing.T) {
+	seeds(t, 10, func(p Plan) Plan {
+		p.Seed += 3000
+		p.Voters, p.Learners = 5, 0
+		return p
+	})
+}
+
+// TestStormOnce holds the seeds that once found a fault: 54, a decided mark on
+// disk without the entry it spoke of; 417, a leader that counted bytes of
+// instances decided behind its back and stopped proposing.
+func TestStormOnce(t *testing.T) {
+	for _, s := range []int64{54, 417} {
+		p := plan(4000 + s)
+		storm(&p)
+		if err := New(p).Run(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func storm(p *Plan) {
+	p.Troubles, p.Reckless, p.Sync = Storm, true, 40
+	p.Every, p.Loss, p.Rate, p.SnapAt = 300, 0.1, 8, 60000
+}
+
+func TestStorm(t *testing.T) {
+	seeds(t, 60, func(p Plan) Plan {
+		p.Seed += 4000
+		storm(&p)
+		return p
+	})
+}
+
+// TestLostDiskHasNoVote: what two replicas accepted stays decided when one of
+// them comes back empty, though the empty one and the third form a majority.
+func TestLostDiskHasNoVote(t *testing.T) {
+	p := plan(7)
+	p.Every, p.Learners, p.Loss, p.Twice, p.Rate = 1<<40, 0, 0, 0, 20
+	w := New(p)
+	a, b, c := w.nodes[0], w.nodes[1], w.nodes[2]
+	w.after(600, func() { c.cut = true })
+	w.after(2000, func() { w.lose(b); w.wipe(b); w.after(50, func() { w.start(b) }) })
+	w.after(2020, func() { a.cut = true; c.cut = false })
+	w.after(6000, func() {
+		if b.core.Role() == accord.Leader || c.core.Role() == accord.Leader {
+			t.Error("an empty disk helped to elect a leader")
+		}
+		a.cut = false
+	})
+	if err := w.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if w.Acked < 100 {
+		t.Fatal("nothing happened")
+	}
+}
--- a/internal/tale/tale.go
+++ b/internal/tale/tale.go
@@ -131,8 +131,9 @@
 		seats: map[unit.Topic]map[unit.Client]seat{}}
 }
 
-func (s *State) Slot() unit.Slot { return s.slot }
-func (s *State) Bytes() int      { return s.bytes }
+func (s *State) Slot() unit.Slot    { return s.slot }
+func (s *State) Clock() unit.Millis { return s.clock }
+func (s *State) Bytes() int         { return s.bytes }
 
 // Apply runs a decided instance. What it emits is in the order of the log.
 func (s *State) Apply(d accord.Decided, emit func(Event)) {
