Ring heartbeats, retirement of storage machines, reports of seats in force

Watchers by place on the ring report silence; the control group's leader decides on the word of both.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -82,11 +82,13 @@
 	draining bool      // this replica leaves: it leads no more
 	seen     map[unit.Num]unit.Millis
 	seatNext []Member
-	told     unit.Slot   // decided, by the leader's last word
-	clock    unit.Millis // the highest decided time
-	ledAt    unit.Millis // when this leader's duty began, by its own steady clock
-	ledClock unit.Millis // the decided time it began at
-	openTime unit.Millis // decided time of the open batch
+	levels   map[unit.Num]unit.Slot // leader: what each member said it holds
+	seated   unit.Slot              // the newest membership came into force here
+	told     unit.Slot              // decided, by the leader's last word
+	clock    unit.Millis            // the highest decided time
+	ledAt    unit.Millis            // when this leader's duty began, by its own steady clock
+	ledClock unit.Millis            // the decided time it began at
+	openTime unit.Millis            // decided time of the open batch
 }
 
 // New starts a replica from what its disk holds.
@@ -422,6 +424,13 @@
 		}
 		c.follow(now, from, m.Ballot)
 		c.learn(now, from, m.Ballot, m.Commit)
+		if m.Yes {
+			c.send(from, Msg{Kind: Level, Ballot: m.Ballot, Commit: c.commit})
+		}
+	case Level:
+		if c.role == Leader && m.Ballot == c.leader {
+			c.levels[m.From] = max(c.levels[m.From], m.Commit)
+		}
 	case Nack:
 		if m.Ballot > c.promised {
 			c.promised = m.Ballot
@@ -526,6 +535,8 @@
 	c.role = Leader
 	c.ledAt, c.ledClock = now, c.clock
 	c.taken = map[ID]bool{}
+	c.levels = map[unit.Num]unit.Slot{}
+	c.seated = c.commit + 1 // what others hold is not known to a new leader
 	c.leader, c.leadNode = c.promised, c.conf.Self.Node
 	c.next = c.commit + 1
 	c.repeats = nil
@@ -624,6 +635,7 @@
 		}
 		for len(c.eras) > 1 && c.eras[1].From <= c.commit {
 			c.eras = c.eras[1:]
+			c.seated = c.eras[0].From
 		}
 		c.eff.Decided = append(c.eff.Decided, Decided{c.commit, v, e.val})
 	}
@@ -764,7 +776,7 @@
 func (c *Core) beat(now unit.Millis) {
 	c.beatAt, c.toldAt = now, c.commit
 	for _, m := range c.peers(true, true) {
-		c.send(m.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit})
+		c.send(m.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: !c.Settled()})
 	}
 }
 
@@ -902,3 +914,17 @@
 	}
 	return c.leadNode != "" && now-c.heardAt < c.conf.Patience+2*c.conf.Beat && c.commit >= c.told
 }
+
+// Settled tells a leader that one membership is in force and each of its
+// members holds everything that was decided before it was.
+func (c *Core) Settled() bool {
+	if c.role != Leader || len(c.eras) != 1 || c.seatNext != nil || c.commit < c.seated-1 {
+		return false
+	}
+	for _, m := range c.eras[0].Seats {
+		if m.Num != c.conf.Self.Num && c.levels[m.Num] < c.seated-1 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -81,6 +81,7 @@
 	Fetch
 	Feed
 	Yield // the leader drains: take over now
+	Level // this replica holds everything up to Commit
 )
 
 // Entry is an instance as one replica has it.
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -12,6 +12,7 @@
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/choir"
 	"oxbowdeck/internal/ground"
+	"oxbowdeck/internal/kin"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/unit"
@@ -35,6 +36,8 @@
 	newsAt  unit.Millis
 	pulseAt unit.Millis
 	enrolAt unit.Millis
+	reports map[rule.Leave]map[unit.Node]unit.Millis // who misses whom
+	kin     *kin.Watch
 	counted int // stores seen at the last look before the founding
 	leaving bool
 	once    sync.Once
@@ -67,7 +70,7 @@
 // Start opens the disk, joins norm's group and serves its peers.
 func Start(set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(1024), waiting: map[accord.ID]*asked{},
-		heirs: map[*lane.Link]bool{}}
+		heirs: map[*lane.Link]bool{}, reports: map[rule.Leave]map[unit.Node]unit.Millis{}}
 	addr := set.Inner(ground.PortNorm)
 	var err error
 	if d.vault, err = vault.Open(set.DataDir, false); err != nil {
@@ -92,6 +95,14 @@
 	}
 	now := unit.Steady()
 	d.enrolAt = now
+	d.kin = ground.Kin(set, d.self, func(n unit.Node, life unit.Life) {
+		d.reported(unit.Steady(), rule.Leave{Addr: n, Life: life}, addr)
+	})
+	if err := d.kin.Listen(func(n unit.Node, life unit.Life) {
+		d.actor.Do(func() { d.kin.Heard(n, life, unit.Steady()) })
+	}); err != nil {
+		return nil, err
+	}
 	go d.actor.Run(d.step)
 	unit.Log("norm-started", "node", set.Name, "addr", addr, "num", id.Num, "commit", d.part.Core.Commit())
 	return d, nil
@@ -220,8 +231,11 @@
 			}
 		case rule.KindMissing:
 			if x, ok := lane.Get[rule.Leave](b); ok {
-				unit.Log("missing", "peer", x.Addr, "by", from)
-				d.Ask(Command{Verb: Leave, Node: rule.Node{Addr: x.Addr, Life: x.Life}}, 3000, func(Result, bool) {})
+				d.reported(unit.Steady(), x, from)
+			}
+		case rule.KindSeated:
+			if x, ok := lane.Get[rule.Seated](b); ok {
+				d.Ask(Command{Verb: Seated, Seated: &x}, 3000, func(Result, bool) {})
 			}
 		default:
 			d.ch.Frame(from, k, b)
@@ -229,6 +243,38 @@
 	})
 }
 
+// reported takes a watcher's word that a node fell silent. The word of more than
+// half of its watchers, within a while, is enough; a report to a control process that
+// does not lead goes on to the one that does.
+func (d *Daemon) reported(now unit.Millis, x rule.Leave, by unit.Node) {
+	if _, lead := d.part.Core.Lead(); lead != d.self.Addr && lead != "" {
+		d.hub.Send(lead, rule.KindMissing, x)
+		return
+	}
+	n := d.state.find(x.Addr)
+	if n == nil || n.Gone || n.Life != x.Life {
+		return
+	}
+	unit.Log("missing", "peer", x.Addr, "by", by)
+	r := d.reports[x]
+	if r == nil {
+		r = map[unit.Node]unit.Millis{}
+		d.reports[x] = r
+	}
+	r[by] = now
+	fresh := 0
+	for _, at := range r {
+		if now-at < unit.Millis(3*d.set.BeatMs*kin.Misses) {
+			fresh++
+		}
+	}
+	if 2*fresh > len(kin.Watchers(d.state.Nodes, x.Addr, kin.Count)) {
+		delete(d.reports, x)
+		unit.Log("lost", "peer", x.Addr, "reports", fresh)
+		d.Ask(Command{Verb: Leave, Node: rule.Node{Addr: x.Addr, Life: x.Life}}, 3000, func(Result, bool) {})
+	}
+}
+
 // enrol answers with news at once if the life is known, else once it is agreed.
 func (d *Daemon) enrol(l *lane.Link, n rule.Node) {
 	if o := d.state.find(n.Addr); o != nil && o.Life == n.Life && o.Disk == n.Disk && !o.Gone {
@@ -292,6 +338,7 @@
 	}
 	if d.dirty && due(d.newsAt+30) {
 		d.dirty = false
+		d.kin.Nodes(d.state.Nodes, now)
 		news, err := cbor.Marshal(d.state.News())
 		if err == nil {
 			for l := range d.heirs {
@@ -306,6 +353,7 @@
 			l.Send(rule.KindPulse, rule.Pulse{Seq: d.state.Slot})
 		}
 	}
+	due(d.kin.Step(now))
 	if due(d.enrolAt) {
 		d.enrolAt = now + 1000
 		if o := d.state.find(d.self.Addr); !d.leaving && (o == nil || o.Life != d.self.Life || o.Gone) {
@@ -388,6 +436,28 @@
 	<-done
 }
 
+// Retire begins to empty a storage machine.
+func (d *Daemon) Retire(name string, wait time.Duration) (res Result, err error) {
+	ok := false
+	d.wait(Command{Verb: Retire, Node: rule.Node{Name: name}, Losses: d.set.Losses}, wait, func(r Result, done bool) { res, ok = r, done })
+	if !ok {
+		return 0, errNoQuorum
+	}
+	return res, nil
+}
+
+// Emptied reads how far a retirement is, in the group's order.
+func (d *Daemon) Emptied(name string, wait time.Duration) (known, asked, done bool, err error) {
+	err = errNoQuorum
+	d.wait(Command{Verb: Read}, wait, func(_ Result, ok bool) {
+		if ok {
+			known, asked, done = d.state.Emptied(name)
+			err = nil
+		}
+	})
+	return
+}
+
 // Status is what an operator is shown.
 type Status struct {
 	Node    string       `json:"node_name"`
@@ -444,6 +514,7 @@
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
+		d.kin.Close()
 		d.hub.Close(100 * time.Millisecond)
 		d.actor.Stop()
 		d.vault.Close()
--- a/internal/edict/state.go
+++ b/internal/edict/state.go
@@ -22,6 +22,8 @@
 	Leave                  // a process's life ended
 	Found                  // place the shards
 	Read                   // nothing: its place in the order makes a read current
+	Retire                 // empty a storage machine
+	Seated                 // a shard's membership is in force
 )
 
 // Command to norm's group.
@@ -33,6 +35,8 @@
 	Node    rule.Node `cbor:"5,keyasint,omitempty"`
 	Shards  int       `cbor:"6,keyasint,omitempty"`
 	Losses  int       `cbor:"7,keyasint,omitempty"`
+
+	Seated *rule.Seated `cbor:"8,keyasint,omitempty"`
 }
 
 // Result of a command.
@@ -42,6 +46,8 @@
 	Done Result = iota + 1
 	Stale
 	Low
+	Unknown // no such machine
+	TooFew  // too few would be left
 )
 
 type taken struct {
@@ -144,9 +150,134 @@
 		s.Shards = Place(s.Nodes, c.Shards, c.Losses)
 		return Done, len(s.Shards) > 0
 	}
+	if c.Verb == Retire {
+		return s.retire(c.Node.Name, c.Losses)
+	}
+	if c.Verb == Seated && c.Seated != nil {
+		return Done, s.seated(*c.Seated)
+	}
 	return Done, false
 }
 
+// seated takes a leader's report; one of an older epoch changes nothing.
+func (s *State) seated(r rule.Seated) bool {
+	if int(r.Group) >= len(s.Shards) || r.Epoch < s.Shards[r.Group].Epoch {
+		return false
+	}
+	sh := &s.Shards[r.Group]
+	same := len(sh.Seats) == len(r.Seats)
+	for i := range r.Seats {
+		same = same && r.Seats[i] == sh.Seats[i]
+	}
+	sh.Seats, sh.Epoch = r.Seats, r.Epoch
+	return !same
+}
+
+// retire takes a storage machine's duties away: its votes go to others.
+func (s *State) retire(name string, losses int) (Result, bool) {
+	n := s.store(name)
+	if n == nil {
+		return Unknown, false
+	}
+	if n.Empty {
+		return Done, false
+	}
+	left := 0
+	for _, o := range s.Nodes {
+		if o.Duty == rule.Store && !o.Gone && !o.Empty && o.Addr != n.Addr {
+			left++
+		}
+	}
+	if left < 2*losses+1 {
+		return TooFew, false
+	}
+	n.Empty = true
+	s.vacate(n.Addr)
+	return Done, true
+}
+
+func (s *State) store(name string) *rule.Node {
+	for i := range s.Nodes {
+		if s.Nodes[i].Name == name && s.Nodes[i].Duty == rule.Store {
+			return &s.Nodes[i]
+		}
+	}
+	return nil
+}
+
+// vacate moves every seat of a store to another: one that follows already
+// before one that does not, a zone without a vote before one that has one.
+func (s *State) vacate(a unit.Node) {
+	for i := range s.Shards {
+		sh := &s.Shards[i]
+		follows := map[unit.Node]bool{}
+		votes := map[unit.Node]bool{}
+		zones := map[unit.Zone]int{}
+		for _, m := range sh.Learners {
+			follows[m.Node] = true
+		}
+		for _, m := range sh.Voters {
+			votes[m.Node] = true
+			if o := s.find(m.Node); o != nil && m.Node != a {
+				zones[o.Zone]++
+			}
+		}
+		best := -1
+		rank := func(o rule.Node) [2]int {
+			r := [2]int{zones[o.Zone], 1}
+			if follows[o.Addr] {
+				r[1] = 0
+			}
+			return r
+		}
+		for j, o := range s.Nodes {
+			if o.Duty != rule.Store || o.Gone || o.Empty || votes[o.Addr] {
+				continue
+			}
+			if best < 0 || less(rank(o), rank(s.Nodes[best])) {
+				best = j
+			}
+		}
+		for j := range sh.Voters {
+			if sh.Voters[j].Node == a && best >= 0 {
+				sh.Voters[j] = accord.Member{Num: s.Nodes[best].Num, Node: s.Nodes[best].Addr}
+			}
+		}
+		var learners []accord.Member
+		for _, m := range sh.Learners {
+			if m.Node != a && (best < 0 || m.Node != s.Nodes[best].Addr) {
+				learners = append(learners, m)
+			}
+		}
+		sh.Learners = learners
+	}
+}
+
+func less(a, b [2]int) bool { return a[0] < b[0] || a[0] == b[0] && a[1] < b[1] }
+
+// Emptied tells how far a store's retirement is: known, asked for, and done
+// once no shard's membership in force holds it.
+func (s *State) Emptied(name string) (known, asked, done bool) {
+	n := s.store(name)
+	if n == nil {
+		return false, false, false
+	}
+	done = n.Empty
+	for _, sh := range s.Shards {
+		if len(sh.Seats) == 0 {
+			done = false
+		}
+		for _, list := range [][]accord.Member{sh.Voters, sh.Learners, sh.Seats} {
+			for _, m := range list {
+				if m.Node == n.Addr {
+					done = false
+				}
+			}
+		}
+	}
+	return true, n.Empty, done
+}
+
 func (s *State) find(a unit.Node) *rule.Node {
 	for i := range s.Nodes {
 		if s.Nodes[i].Addr == a {
@@ -172,12 +303,13 @@
 		if old.Life == n.Life && !old.Gone {
 			return false
 		}
+		n.Empty = old.Empty && n.Disk == old.Disk
 		*old = n
 	} else {
 		s.Nodes = append(s.Nodes, n)
 		sort.Slice(s.Nodes, func(i, j int) bool { return s.Nodes[i].Addr < s.Nodes[j].Addr })
 	}
-	if n.Duty == rule.Store && len(s.Shards) > 0 {
+	if n.Duty == rule.Store && len(s.Shards) > 0 && !n.Empty {
 		s.seat(n)
 	}
 	return true
@@ -221,7 +353,7 @@
 	byZone := map[unit.Zone][]rule.Node{}
 	var zones []unit.Zone
 	for _, n := range nodes {
-		if n.Duty != rule.Store || n.Gone {
+		if n.Duty != rule.Store || n.Gone || n.Empty {
 			continue
 		}
 		if byZone[n.Zone] == nil {
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -11,7 +11,9 @@
 	"syscall"
 	"time"
 
+	"oxbowdeck/internal/kin"
 	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/unit"
 )
 
@@ -97,3 +99,8 @@
 	}
 	return out
 }
+
+// Kin makes a node's part in the ring of heartbeats.
+func Kin(s *Settings, self rule.Node, report func(unit.Node, unit.Life)) *kin.Watch {
+	return &kin.Watch{Self: self.Addr, Life: self.Life, Beat: unit.Millis(s.BeatMs), Report: report}
+}
--- a/internal/ground/settings.cue
+++ b/internal/ground/settings.cue
@@ -19,6 +19,7 @@
 	limits_fd_limit:               >=0
 	limits_disk_mb:                >=0
 	limits_link_mbps:              >=0
+	beat_ms:                       >0
 	fault_tolerance_machines:      >=0 & <=4
 	timing_bounds_contact_ms:      >=0
 	timing_bounds_ack_ms:          >=0
--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -46,6 +46,7 @@
 	FDs       int               `set:"limits.fd_limit" json:"limits_fd_limit"`
 	DiskMB    int               `set:"limits.disk_mb" json:"limits_disk_mb"`
 	LinkMbps  float64           `set:"limits.link_mbps" json:"limits_link_mbps"`
+	BeatMs    int               `set:"beat_ms" json:"beat_ms"`
 	Losses    int               `set:"fault_tolerance.machines" json:"fault_tolerance_machines"`
 	ContactMs int               `set:"timing_bounds.contact_ms" json:"timing_bounds_contact_ms"`
 	AckMs     int               `set:"timing_bounds.ack_ms" json:"timing_bounds_ack_ms"`
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -12,6 +12,7 @@
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/choir"
 	"oxbowdeck/internal/ground"
+	"oxbowdeck/internal/kin"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/tale"
@@ -36,6 +37,7 @@
 	pulseAt   unit.Millis
 	dutyAt    unit.Millis
 	leaving   bool
+	kin       *kin.Watch
 }
 
 type shard struct {
@@ -114,6 +116,16 @@
 			return nil, err
 		}
 	}
+	d.kin = ground.Kin(set, d.self, func(n unit.Node, life unit.Life) {
+		if at := d.norm.At(); at != "" {
+			d.hub.Send(at, rule.KindMissing, rule.Leave{Addr: n, Life: life})
+		}
+	})
+	if err := d.kin.Listen(func(n unit.Node, life unit.Life) {
+		d.actor.Do(func() { d.kin.Heard(n, life, unit.Steady()) })
+	}); err != nil {
+		return nil, err
+	}
 	if err := d.hub.Listen(string(addr)); err != nil {
 		return nil, err
 	}
@@ -153,6 +165,10 @@
 }
 
 func (d *Daemon) onNews(n *rule.News) {
+	d.kin.Nodes(n.Nodes, unit.Steady())
+	if me := n.Find(d.self.Addr); me != nil && me.Gone && !d.leaving {
+		d.norm.Turn(unit.Steady()) // declared lost, yet alive: enrol again
+	}
 	if len(n.Shards) > 0 {
 		if len(d.shards) == 0 {
 			if err := d.vault.Put("shards", n.Shards); err != nil {
@@ -377,7 +393,7 @@
 		d.dutyAt = now + 1000
 		d.duties(now)
 	}
-	return min(wait, (d.pulseAt - now).Span(), (d.dutyAt - now).Span())
+	return min(wait, (d.pulseAt - now).Span(), (d.dutyAt - now).Span(), (d.kin.Step(now) - now).Span())
 }
 
 // duties are done by each group's leader, under its epoch.
@@ -398,6 +414,16 @@
 				}
 			}
 		}
+		if b, _ := p.Core.Lead(); p.Core.Settled() {
+			r := rule.Seated{Group: g, Epoch: b, Seats: append([]accord.Member(nil), p.Core.Seats()...)}
+			if sh := n.Shards[g]; !same(sh.Seats, r.Seats) && d.norm.At() != "" {
+				d.hub.Send(d.norm.At(), rule.KindSeated, r)
+			}
+		}
+		if p.Core.Settled() && !holds(p.Core.Seats(), d.self.Addr) {
+			p.Core.Yield(now) // emptied: the duty goes to a member
+			continue
+		}
 		if want := n.Shards[g].Voters; !same(want, p.Core.Seats()) {
 			if err := p.Core.Reseat(now, want); err == nil {
 				unit.Log("reseat", "group", g, "seats", len(want))
@@ -406,6 +432,15 @@
 	}
 }
 
+func holds(ms []accord.Member, a unit.Node) bool {
+	for _, m := range ms {
+		if m.Node == a {
+			return true
+		}
+	}
+	return false
+}
+
 func same(a, b []accord.Member) bool {
 	if len(a) != len(b) {
 		return false
@@ -442,6 +477,7 @@
 	})
 	<-done
 	time.Sleep(50 * time.Millisecond)
+	d.kin.Close()
 	d.hub.Close(200 * time.Millisecond)
 	d.actor.Stop()
 	d.vault.Close()
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -23,6 +23,7 @@
 	KindAsk       lane.Kind = 14
 	KindLeave     lane.Kind = 15
 	KindMissing   lane.Kind = 16
+	KindSeated    lane.Kind = 17
 )
 
 // Duty of a process.
@@ -48,6 +49,7 @@
 	Life  unit.Life
 	Num   unit.Num
 	Gone  bool // left or lost: not to be sent anyone
+	Empty bool // to be emptied: it gets no duties
 }
 
 // Shard is one group's placement.
@@ -56,6 +58,8 @@
 	Founders []accord.Member // the membership it began with
 	Voters   []accord.Member // the membership wanted now
 	Learners []accord.Member // replicas that follow without a vote
+	Seats    []accord.Member // the membership last reported to be in force
+	Epoch    unit.Ballot     // by the leader of this epoch
 }
 
 // News is everything the control plane tells the data plane.
@@ -75,6 +79,15 @@
 	Life unit.Life
 }
 
+// Seated is a shard leader's word: these members are in force, and each of
+// them holds everything decided before they were.
+type Seated struct {
+	_     struct{} `cbor:",toarray"`
+	Group unit.Group
+	Epoch unit.Ballot
+	Seats []accord.Member
+}
+
 // Pulse shows that a silent link lives, and how new its end is.
 type Pulse struct {
 	_     struct{} `cbor:",toarray"`
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -12,6 +12,7 @@
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/choir"
 	"oxbowdeck/internal/ground"
+	"oxbowdeck/internal/kin"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/tale"
@@ -51,6 +52,7 @@
 	reqSeq   uint64
 	leaving  bool
 	sweepAt  unit.Millis
+	kin      *kin.Watch
 
 	b bounds
 }
@@ -125,6 +127,16 @@
 	d.self = rule.Node{Name: set.Name, Duty: rule.Edge, Zone: set.Zone, Addr: addr, Front: set.Front, Life: unit.Life(rand.Uint64() >> 1)}
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
+	d.kin = ground.Kin(set, d.self, func(n unit.Node, life unit.Life) {
+		if at := d.norm.At(); at != "" {
+			d.hub.Send(at, rule.KindMissing, rule.Leave{Addr: n, Life: life})
+		}
+	})
+	if err := d.kin.Listen(func(n unit.Node, life unit.Life) {
+		d.actor.Do(func() { d.kin.Heard(n, life, unit.Steady()) })
+	}); err != nil {
+		return nil, err
+	}
 	if err := d.ready.Serve(set.Ready); err != nil {
 		return nil, err
 	}
@@ -683,6 +695,16 @@
 	return out
 }
 
+// carries tells whether a link's peer is still placed to carry the shards.
+func (d *Daemon) carries(l *lane.Link) bool {
+	for _, r := range d.replicas() {
+		if r.Addr == l.Peer().Node {
+			return true
+		}
+	}
+	return false
+}
+
 // pick asks the best replica not just found wanting whether it can be followed.
 func (d *Daemon) pick(now unit.Millis) {
 	if d.try != nil && now-d.tryAt < 700 {
@@ -698,7 +720,7 @@
 	list := d.replicas()
 	for _, any := range []bool{false, true} {
 		for _, r := range list {
-			if d.cur != nil && (r.Addr == d.cur.Peer().Node || r.Zone != d.self.Zone && d.stale < 2) {
+			if d.cur != nil && (r.Addr == d.cur.Peer().Node || r.Zone != d.self.Zone && d.stale < 2 && d.carries(d.cur)) {
 				continue
 			}
 			if any || d.avoid[r.Addr] <= now {
@@ -767,14 +789,32 @@
 			}
 		}
 	}
-	if me := n.Find(d.self.Addr); me != nil && me.Gone && !d.leaving {
-		d.norm.Turn(unit.Steady()) // declared lost, yet alive: enrol again
+	d.kin.Nodes(n.Nodes, unit.Steady())
+	if me := n.Find(d.self.Addr); me != nil && me.Gone && me.Life == d.self.Life && !d.leaving {
+		d.reborn()
 	}
 	if d.cur == nil {
 		d.pick(unit.Steady())
 	}
 }
 
+// reborn begins a new life after being declared lost: the seats of the old one
+// are struck, so everyone here is seated again.
+func (d *Daemon) reborn() {
+	now := unit.Steady()
+	d.self.Life = unit.Life(rand.Uint64() >> 1)
+	d.norm.Self, d.kin.Life = d.self, d.self.Life
+	unit.Log("declared-lost", "node", d.self.Name)
+	d.norm.Turn(now)
+	for _, t := range d.topics {
+		for _, s := range t.subs {
+			if s.active {
+				d.seatCall(now, s.c, t.name, tale.Sit)
+			}
+		}
+	}
+}
+
 func (d *Daemon) step() time.Duration {
 	now := unit.Steady()
 	wait := unit.Millis(500)
@@ -792,7 +832,11 @@
 		wait = 50
 	} else if now >= d.betterAt {
 		d.betterAt = now + 1000
-		if x := d.norm0().Find(d.cur.Peer().Node); x == nil || x.Zone != d.self.Zone {
+		best, held := d.replicas(), false
+		for _, r := range best {
+			held = held || r.Addr == d.cur.Peer().Node && r.Zone == d.self.Zone
+		}
+		if !held && len(best) > 0 {
 			d.pick(now)
 		}
 	}
@@ -829,7 +873,8 @@
 		d.ready.Set(on)
 		unit.Log("readiness", "ready", on)
 	}
-	return wait.Span()
+	wait = min(wait, d.kin.Step(now)-now)
+	return max(wait, 1).Span()
 }
 
 // sweep gives up what waited too long and drops clients that fell silent.
@@ -918,6 +963,7 @@
 		}
 	})
 	time.Sleep(60 * time.Millisecond)
+	d.kin.Close()
 	d.hub.Close(200 * time.Millisecond)
 	d.actor.Stop()
 }
--- a/internal/will/will.go
+++ b/internal/will/will.go
@@ -45,6 +45,40 @@
 			w.Write(body)
 		}
 	})
+	mux.HandleFunc("POST /v1/retire/{node}", func(w http.ResponseWriter, r *http.Request) {
+		var order struct {
+			RampS float64 `json:"ramp_s"`
+		}
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096)).Decode(&order); err != nil && err != io.EOF || order.RampS < 0 {
+			say(w, http.StatusBadRequest, answer{Error: "the body must be an object with ramp_s"})
+			return
+		}
+		res, err := d.Retire(r.PathValue("node"), b.Wait)
+		switch {
+		case err != nil:
+			later(w, err)
+		case res == edict.Unknown:
+			say(w, http.StatusNotFound, answer{Error: "no such storage machine"})
+		case res == edict.TooFew:
+			say(w, http.StatusConflict, answer{Error: "too few storage machines would be left"})
+		default:
+			unit.Log("retire", "node", r.PathValue("node"))
+			say(w, http.StatusOK, answer{State: "active"})
+		}
+	})
+	mux.HandleFunc("GET /v1/retire/{node}", func(w http.ResponseWriter, r *http.Request) {
+		known, asked, done, err := d.Emptied(r.PathValue("node"), b.Wait)
+		switch {
+		case err != nil:
+			later(w, err)
+		case !known || !asked:
+			say(w, http.StatusNotFound, answer{Error: "no retirement of that machine"})
+		case done:
+			say(w, http.StatusOK, answer{State: "completed"})
+		default:
+			say(w, http.StatusOK, answer{State: "active"})
+		}
+	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { say(w, http.StatusOK, d.Status()) })
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10}
