--- /dev/null
+++ b/internal/ground/settings_test.go
@@ -0,0 +1,60 @@
+package ground
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `node_name=edge-1
+role=my-edge
+machine_class=edge
+served_roles=edge
+ip_addr=127.0.0.1
+avail_zone=a
+region=r
+zones.a=r
+listen_addrs.front=127.0.0.1:8266
+listen_addrs.readiness=127.0.0.1:8268
+internal_ports=7120,7135
+seed_nodes=127.0.0.1:8264,127.0.0.2:8264
+initial_start=true
+limits.memory_mb=284
+beat_ms=1200
+fault_tolerance.machines=1
+timing_bounds.ping_s=2
+timing_bounds.resend_s=10.5
+tuning.wnd=4
+some.later.field=x
+`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "edge-1" || s.ResendS != 10.5 || len(s.Seeds) != 2 || !s.First || s.Int("wnd", 8) != 4 || s.Int("bsz_kb", 64) != 64 {
+		t.Fatalf("read as %+v", s)
+	}
+	if s.Inner(PortEdge) != "127.0.0.1:7122" {
+		t.Fatalf("internal address %s", s.Inner(PortEdge))
+	}
+	for name, c := range map[string][2]string{
+		"no name":         {"node_name=edge-1", "node_name="},
+		"no zone":         {"avail_zone=a", ""},
+		"bad address":     {"ip_addr=127.0.0.1", "ip_addr=here"},
+		"one port":        {"internal_ports=7120,7135", "internal_ports=7120"},
+		"no seeds":        {"seed_nodes=127.0.0.1:8264,127.0.0.2:8264", "seed_nodes="},
+		"not a number":    {"timing_bounds.ping_s=2", "timing_bounds.ping_s=soon"},
+		"zero ping":       {"timing_bounds.ping_s=2", "timing_bounds.ping_s=0"},
+		"not a truth":     {"initial_start=true", "initial_start=perhaps"},
+		"line without =":  {"region=r", "region"},
+		"too many losses": {"fault_tolerance.machines=1", "fault_tolerance.machines=9"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c[0], c[1], 1)))
+		if err == nil {
+			t.Errorf("%s: taken", name)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: more than one line: %q", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kin/kin_test.go
@@ -0,0 +1,74 @@
+package kin
+
+import (
+	"fmt"
+	"testing"
+
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/unit"
+)
+
+func TestRing(t *testing.T) {
+	var nodes []rule.Node
+	for i := 0; i < 9; i++ {
+		nodes = append(nodes, rule.Node{Addr: unit.Node(fmt.Sprintf("10.0.%d.1:1", i)), Zone: unit.Zone(fmt.Sprint(i % 3))})
+	}
+	watch := map[unit.Node]int{}
+	same := 0
+	for _, n := range nodes {
+		ws := Watchers(nodes, n.Addr, Count)
+		if len(ws) != Count {
+			t.Fatalf("%d watchers", len(ws))
+		}
+		for _, w := range ws {
+			if w == n.Addr {
+				t.Fatal("a node watches itself")
+			}
+			watch[w]++
+			for _, o := range nodes {
+				if o.Addr == w && o.Zone == n.Zone {
+					same++
+				}
+			}
+		}
+	}
+	for a, k := range watch {
+		if k != Count {
+			t.Fatalf("%s watches %d", a, k)
+		}
+	}
+	if same < len(nodes) {
+		t.Fatalf("%d of %d beats stay in their zone", same, 2*len(nodes))
+	}
+	nodes[4].Gone = true
+	for _, n := range nodes {
+		for _, w := range Watchers(nodes, n.Addr, Count) {
+			if w == nodes[4].Addr {
+				t.Fatal("a node that is gone watches")
+			}
+		}
+	}
+}
+
+func TestSilenceIsReportedOnce(t *testing.T) {
+	var told []unit.Node
+	w := &Watch{Self: "127.0.0.1:0", Life: 1, Beat: 1000, Report: func(n unit.Node, _ unit.Life) { told = append(told, n) }}
+	if err := w.Listen(func(unit.Node, unit.Life) {}); err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	w.Nodes([]rule.Node{{Addr: w.Self, Life: 1}, {Addr: "127.0.0.1:2", Life: 7}, {Addr: "127.0.0.1:3", Life: 8}}, 0)
+	for now := unit.Millis(1000); now <= 9000; now += 1000 {
+		w.Heard("127.0.0.1:3", 8, now)
+		w.Heard("127.0.0.1:2", 6, now) // a life that is over
+		w.Step(now)
+	}
+	if len(told) != 1 || told[0] != "127.0.0.1:2" {
+		t.Fatalf("told %v", told)
+	}
+	told = nil
+	w.Step(60000) // this process itself was held up: it judges nobody
+	if len(told) != 0 {
+		t.Fatalf("a watcher that was frozen reported %v", told)
+	}
+}
--- /dev/null
+++ b/internal/vault/vault_test.go
@@ -0,0 +1,88 @@
+package vault
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+func save(t *testing.T, v *Vault, g unit.Group, recs ...accord.Record) {
+	t.Helper()
+	done := make(chan error, 1)
+	v.Save(g, recs, func(err error) { done <- err })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func entry(s unit.Slot, b unit.Ballot, val string) accord.Record {
+	return accord.Record{Promised: b, Entry: &accord.Entry{Slot: s, Ballot: b, Val: []byte(val)}}
+}
+
+func TestWhatWasSyncedComesBack(t *testing.T) {
+	dir := t.TempDir()
+	v, err := Open(dir, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	save(t, v, 0, entry(1, 5, "a"), entry(2, 5, "b"))
+	save(t, v, 1, entry(1, 9, "other"))
+	save(t, v, 0, accord.Record{Promised: 7, Commit: 1}, entry(2, 7, "B"), accord.Record{Promised: 8, Commit: 2})
+	done := make(chan error, 1)
+	v.SaveSnapshot(0, Snapshot{Slot: 1, State: []byte("s"), Eras: []accord.Era{{Seats: []accord.Member{{Num: 1, Node: "n"}}}}}, func(err error) { done <- err })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	v.Close()
+	if v, err = Open(dir, false); err != nil {
+		t.Fatal(err)
+	}
+	defer v.Close()
+	boot, snap, err := v.Load(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if boot.Promised != 8 || boot.Commit != 2 || boot.Base != 1 || snap == nil || string(snap.State) != "s" {
+		t.Fatalf("came back as %+v", boot)
+	}
+	if len(boot.Entries) != 1 || string(boot.Entries[0].Val) != "B" || boot.Entries[0].Ballot != 7 {
+		t.Fatalf("entries %+v", boot.Entries)
+	}
+	if b, _, _ := v.Load(1); len(b.Entries) != 1 || string(b.Entries[0].Val) != "other" {
+		t.Fatal("groups mixed")
+	}
+}
+
+// TestTornTail: a power loss may leave a piece of the last unsynced write; what
+// was synced before it is read all the same, and nothing is made of the piece.
+func TestTornTail(t *testing.T) {
+	for cut := int64(1); cut < 60; cut += 7 {
+		dir := t.TempDir()
+		v, err := Open(dir, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		save(t, v, 0, entry(1, 5, "first"))
+		logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+		if len(logs) != 1 {
+			t.Fatalf("%d journals", len(logs))
+		}
+		before, _ := os.Stat(logs[0])
+		save(t, v, 0, entry(2, 6, "second"))
+		v.Close()
+		if err := os.Truncate(logs[0], before.Size()+cut); err != nil {
+			t.Fatal(err)
+		}
+		if v, err = Open(dir, false); err != nil {
+			t.Fatal(err)
+		}
+		boot, _, err := v.Load(0)
+		v.Close()
+		if err != nil || len(boot.Entries) != 1 || string(boot.Entries[0].Val) != "first" || boot.Promised != 5 {
+			t.Fatalf("cut %d: %+v %v", cut, boot, err)
+		}
+	}
+}
