--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"compress/flate"
 	"encoding/binary"
 	"errors"
@@ -53,14 +54,21 @@
 	Far    func(unit.Node) bool // is the node in another zone? those bytes are dear
 	mu     sync.Mutex
 	out    map[unit.Node]*Link
+	failed map[unit.Node]failure // peers that could not be reached lately
 	in     map[*Link]bool
 	closed bool
 	ln     net.Listener
 }
 
+// failure holds dials back: each one that fails doubles the pause, with jitter.
+type failure struct {
+	pause time.Duration
+	until time.Time
+}
+
 // New makes a hub. handle runs on the reader of each link, down when one ends.
 func New(self Hello, b Bounds, handle func(*Link, Kind, []byte), down func(*Link)) *Hub {
-	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[unit.Node]*Link{}, in: map[*Link]bool{}}
+	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[unit.Node]*Link{}, failed: map[unit.Node]failure{}, in: map[*Link]bool{}}
 }
 
 // Listen takes connections from peers.
@@ -143,7 +151,7 @@
 		return l
 	}
 	l := &Link{hub: h, to: n, ready: make(chan struct{}, 1)}
-	if h.closed {
+	if h.closed || time.Now().Before(h.failed[n].until) {
 		l.dead = true
 		return l
 	}
@@ -196,37 +204,33 @@
 }
 
 func (l *Link) dial() {
-	var err error
-	pause := l.hub.bounds.RetryMin
-	for try := 0; try < 3; try++ {
-		var c net.Conn
-		c, err = net.DialTimeout("tcp", string(l.to), l.hub.bounds.Dial)
-		if err == nil {
-			Tune(c, l.hub.bounds.Silence)
-			l.mu.Lock()
-			if l.dead {
-				l.mu.Unlock()
-				c.Close()
-				return
-			}
-			l.conn = c
-			pack := l.hub.Far != nil && l.hub.Far(l.to)
-			l.pack = pack
-			l.mu.Unlock()
-			go l.read(c)
-			l.write(c, pack)
-			return
-		}
-		time.Sleep(pause/2 + rand.N(pause))
-		pause = min(2*pause, l.hub.bounds.RetryMax)
-		l.mu.Lock()
-		dead := l.dead
+	h := l.hub
+	c, err := net.DialTimeout("tcp", string(l.to), h.bounds.Dial)
+	if err != nil {
+		h.mu.Lock()
+		f := h.failed[l.to]
+		f.pause = min(max(2*f.pause, h.bounds.RetryMin), h.bounds.RetryMax)
+		f.until = time.Now().Add(f.pause/2 + rand.N(f.pause))
+		h.failed[l.to] = f
+		h.mu.Unlock()
+		l.Drop()
+		return
+	}
+	Tune(c, h.bounds.Silence)
+	h.mu.Lock()
+	delete(h.failed, l.to)
+	h.mu.Unlock()
+	pack := h.Far != nil && h.Far(l.to)
+	l.mu.Lock()
+	if l.dead {
 		l.mu.Unlock()
-		if dead {
-			return
-		}
+		c.Close()
+		return
 	}
-	l.Drop()
+	l.conn, l.pack = c, pack
+	l.mu.Unlock()
+	go l.read(c)
+	l.write(c, pack)
 }
 
 // Send queues one frame; false when the link is dead or its queue is full.
@@ -278,6 +282,7 @@
 	}
 	var spare []byte
 	var deflate *flate.Writer
+	var packed bytes.Buffer // one write a turn: the deflater itself writes in scraps
 	for {
 		l.mu.Lock()
 		b, dead, pack := l.buf, l.dead, l.pack
@@ -294,11 +299,12 @@
 		var err error
 		if pack {
 			if deflate == nil {
-				deflate, _ = flate.NewWriter(c, packLevel)
-			}
-			if _, err = deflate.Write(b); err == nil {
-				err = deflate.Flush()
+				deflate, _ = flate.NewWriter(&packed, packLevel)
 			}
+			deflate.Write(b) // to memory: cannot fail
+			deflate.Flush()
+			_, err = c.Write(packed.Bytes())
+			packed.Reset()
 		} else {
 			_, err = c.Write(b)
 		}
--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -91,3 +91,33 @@
 		t.Fatalf("%d frames queued for a peer that is not there", sent)
 	}
 }
+
+type counted struct {
+	net.Conn
+	writes chan int
+}
+
+func (c counted) Write(b []byte) (int, error) { c.writes <- len(b); return len(b), nil }
+func (c counted) Close() error                { return nil }
+
+// TestOneWriteATurn: a deflated turn leaves in one write. Scraps are packets,
+// and each packet is one more that a lossy link can lose.
+func TestOneWriteATurn(t *testing.T) {
+	h := New(Hello{Node: "a"}, small, nil, func(*Link) {})
+	l := &Link{hub: h, to: "b", ready: make(chan struct{}, 1), pack: true}
+	for i := 0; i < 20; i++ {
+		l.SendRaw(5, []byte(fmt.Sprint("frame ", i*i*7919, " of many different ones")))
+	}
+	c := counted{writes: make(chan int, 100)}
+	go l.write(c, true)
+	hello, turn := <-c.writes, <-c.writes
+	if hello == 0 || turn == 0 {
+		t.Fatal("nothing written")
+	}
+	select {
+	case n := <-c.writes:
+		t.Fatalf("a second write of %d bytes", n)
+	case <-time.After(50 * time.Millisecond):
+	}
+	l.Drop()
+}
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -46,6 +46,7 @@
 	try      *lane.Link // the one being asked
 	tryAt    unit.Millis
 	heardAt  unit.Millis
+	lostAt   unit.Millis // when there last was no replica any more
 	stale    int
 	betterAt unit.Millis
 	avoid    map[unit.Node]unit.Millis
@@ -654,10 +655,12 @@
 		if l == d.try {
 			d.try = nil
 			d.avoid[l.Peer().Node] = now + 500
+			if d.cur == nil {
+				d.pick(now)
+			}
 		}
 		if l == d.cur {
-			d.avoid[l.Peer().Node] = now + 300
-			d.lose(now)
+			d.lose(now) // its own zone's replica is asked first again: a reset is no death
 		}
 	})
 }
@@ -665,7 +668,7 @@
 // lose turns from the replica followed to another.
 func (d *Daemon) lose(now unit.Millis) {
 	unit.Log("replica-lost", "peer", d.cur.Peer().Node)
-	d.cur = nil
+	d.cur, d.lostAt = nil, now
 	for _, t := range d.topics {
 		t.on = false
 	}
@@ -725,8 +728,11 @@
 				continue
 			}
 			if any || d.avoid[r.Addr] <= now {
-				d.try, d.tryAt = d.hub.To(r.Addr), now
-				d.try.Send(trace.KindFollow, trace.Follow{Edge: d.self.Addr, Life: d.self.Life})
+				l := d.hub.To(r.Addr)
+				if !l.Send(trace.KindFollow, trace.Follow{Edge: d.self.Addr, Life: d.self.Life}) {
+					continue // could not be reached a moment ago
+				}
+				d.try, d.tryAt = l, now
 				return
 			}
 		}
@@ -869,7 +875,8 @@
 		c.flush()
 	}
 	d.dirty = d.dirty[:0]
-	on := !d.leaving && d.config.Release > 0 && d.cur != nil && len(d.norm0().Shards) > 0 && len(d.leads) >= len(d.norm0().Shards)
+	// a moment without a replica is no reason to turn clients away
+	on := !d.leaving && d.config.Release > 0 && (d.cur != nil || d.ready.On() && now-d.lostAt < d.b.quiet) && len(d.norm0().Shards) > 0 && len(d.leads) >= len(d.norm0().Shards)
 	if on != d.ready.On() {
 		d.ready.Set(on)
 		unit.Log("readiness", "ready", on)
