Tools: config, status, plan, model, lay, story; a bound on the disk

norm checks configurations and tells their difference, shows a running system, plans placement, losses and retirements with the control plane's own code, and works the paper's model out; flux story checks, compares and replays stores' directories. A store whose disk passes 85% takes nothing new until it is below 75%.

--- a/cmd/flux/main.go
+++ b/cmd/flux/main.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 
 	"github.com/spf13/cobra"
 
 	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/hold"
+	"oxbowdeck/internal/lore"
 	"oxbowdeck/internal/unit"
 	"oxbowdeck/internal/voice"
 )
@@ -18,33 +20,33 @@
 	root := &cobra.Command{Use: "flux", Short: "the data plane of oxbowdeck", SilenceUsage: true}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
-		run("edge", "serve clients", func(s *ground.Settings) (func(), error) {
+		run("edge", "serve clients", func(s *ground.Settings) (daemon, error) {
 			if s.Front == "" || s.Ready == "" {
 				return nil, unit.Errf("settings", s.Name, "listen_addrs.front and listen_addrs.readiness are needed")
 			}
-			d, err := voice.Start(s)
-			if err != nil {
-				return nil, err
-			}
-			return d.Stop, nil
+			return voice.Start(s)
 		}),
-		run("store", "hold replicas of the topics", func(s *ground.Settings) (func(), error) {
+		run("store", "hold replicas of the topics", func(s *ground.Settings) (daemon, error) {
 			if s.DataDir == "" {
 				return nil, unit.Errf("settings", s.Name, "data_dir is needed")
 			}
-			d, err := hold.Start(s)
-			if err != nil {
-				return nil, err
-			}
-			return d.Stop, nil
+			return hold.Start(s)
 		}),
-		ground.CheckCommand())
-	if root.Execute() != nil {
+		ground.CheckCommand(), lore.Command(hold.Bounds(&ground.Settings{ResendS: 10})))
+	if err := root.Execute(); errors.Is(err, lore.ErrFaults) {
+		os.Exit(1)
+	} else if err != nil {
 		os.Exit(2)
 	}
 }
 
-func run(name, short string, start func(*ground.Settings) (func(), error)) *cobra.Command {
+// daemon is a running process.
+type daemon interface {
+	Hup(*ground.Settings)
+	Stop()
+}
+
+func run(name, short string, start func(*ground.Settings) (daemon, error)) *cobra.Command {
 	var path string
 	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		set, err := ground.Read(path)
@@ -52,13 +54,17 @@
 			return err
 		}
 		set.Fit()
-		stop, err := start(set)
+		d, err := start(set)
 		if err != nil {
 			return err
 		}
-		ground.Wait(context.Background(), func() { ground.Reread(path) })
+		ground.Wait(context.Background(), func() {
+			if s := ground.Reread(path); s != nil {
+				d.Hup(s)
+			}
+		})
 		unit.Log("stopping", "node", set.Name)
-		stop()
+		d.Stop()
 		return nil
 	}}
 	c.Flags().StringVar(&path, "settings", os.Getenv(ground.EnvSettings), "settings file (default: $"+ground.EnvSettings+")")
--- a/cmd/norm/main.go
+++ b/cmd/norm/main.go
@@ -17,7 +17,7 @@
 func main() {
 	root := &cobra.Command{Use: "norm", Short: "the control plane of oxbowdeck", SilenceUsage: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(serve(), ground.CheckCommand())
+	root.AddCommand(serve(), ground.CheckCommand(), config(), status(), plan(), model(), lay())
 	if root.Execute() != nil {
 		os.Exit(2)
 	}
--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -928,3 +928,11 @@
 	}
 	return true
 }
+
+// Mark puts the decided prefix on record, for a process that ends in order.
+func (c *Core) Mark() {
+	if len(c.waits) == 0 {
+		c.firm = c.commit
+	}
+	c.save(Record{}, wait{})
+}
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -211,6 +211,16 @@
 	})
 }
 
+// Squeeze makes room on the disk: a snapshot of each group lets its log go.
+func (ch *Choir) Squeeze() {
+	for _, p := range ch.Parts {
+		if !p.saving && p.logged > 0 {
+			ch.snapshot(p)
+		}
+	}
+	ch.Vault.Compact()
+}
+
 func (ch *Choir) sendSnap(p *Part, n unit.Node) {
 	s, err := ch.image(p)
 	if err != nil {
@@ -285,6 +295,14 @@
 	}
 }
 
+// Mark puts on record what is decided, before an orderly end.
+func (ch *Choir) Mark() {
+	for _, p := range ch.Parts {
+		p.Core.Mark()
+		ch.flush(p)
+	}
+}
+
 // Leads tells whether any group is led here.
 func (ch *Choir) Leads() bool {
 	for _, p := range ch.Parts {
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -514,6 +514,7 @@
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
+		d.actor.Do(d.ch.Mark)
 		d.kin.Close()
 		d.hub.Close(100 * time.Millisecond)
 		d.actor.Stop()
--- /dev/null
+++ b/internal/edict/plan.go
@@ -0,0 +1,191 @@
+package edict
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/unit"
+)
+
+// Deployment is what the planner is asked about.
+type Deployment struct {
+	Stores []rule.Node
+	Shards int
+	Losses int
+}
+
+// Outcome is what follows for one shard when machines are lost.
+type Outcome struct {
+	Shard   int      `json:"shard"`
+	Leader  string   `json:"leader"` // the first live one in the agreed order; empty: no majority
+	Left    int      `json:"voters_left"`
+	Voters  int      `json:"voters"`
+	Serves  bool     `json:"serves"`  // a majority of the voters lives
+	Reading []string `json:"reading"` // live replicas, that edges can follow
+}
+
+// Enrolled runs the stores through the state's own enrolment and founding.
+func (d Deployment) Enrolled() (*State, error) {
+	s := &State{}
+	for i, n := range d.Stores {
+		n.Duty, n.Life, n.Disk = rule.Store, 1, uint64(i+1)
+		n.Addr = unit.Node(n.Name)
+		if s.find(n.Addr) != nil {
+			return nil, fmt.Errorf("store %s is named twice", n.Name)
+		}
+		s.run(&Command{Verb: Enroll, Node: n})
+	}
+	if s.run(&Command{Verb: Found, Shards: d.Shards, Losses: d.Losses}); len(s.Shards) == 0 {
+		return nil, fmt.Errorf("%d stores can't outlast the loss of %d: %d are needed", len(d.Stores), d.Losses, 2*d.Losses+1)
+	}
+	return s, nil
+}
+
+// Plan retires a store in a planned state.
+func (s *State) Plan(name string, losses int) error {
+	switch res, _ := s.retire(name, losses); res {
+	case Unknown:
+		return fmt.Errorf("--retire %s: no such store", name)
+	case TooFew:
+		return fmt.Errorf("--retire %s: too few would be left to outlast the loss of %d", name, losses)
+	}
+	return nil
+}
+
+// Lose tells what the loss of some stores would do to each shard.
+func (s *State) Lose(lost map[unit.Node]bool) (out []Outcome) {
+	for i, sh := range s.Shards {
+		o := Outcome{Shard: i, Voters: len(sh.Voters)}
+		for _, m := range sh.Voters {
+			if !lost[m.Node] {
+				o.Left++
+				o.Reading = append(o.Reading, string(m.Node))
+				if o.Leader == "" {
+					o.Leader = string(m.Node)
+				}
+			}
+		}
+		for _, m := range sh.Learners {
+			if !lost[m.Node] {
+				o.Reading = append(o.Reading, string(m.Node))
+			}
+		}
+		if o.Serves = 2*o.Left > o.Voters; !o.Serves {
+			o.Leader = ""
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// Step is one change on the way from a placement to another. Each is safe by
+// itself: a shard changes one voter at a time, and the next step waits until
+// the membership is in force and all of its members hold what was decided.
+type Step struct {
+	Shard int    `json:"shard"`
+	Do    string `json:"do"`
+	From  string `json:"from,omitempty"`
+	To    string `json:"to,omitempty"`
+}
+
+// Steps gives the moves between two placements of the same shards, in order.
+func Steps(from, to []rule.Shard) (out []Step) {
+	in := func(ms []accord.Member, n unit.Node) bool {
+		for _, m := range ms {
+			if m.Node == n {
+				return true
+			}
+		}
+		return false
+	}
+	for i := range from {
+		old, now := from[i], to[i]
+		var away, here []unit.Node
+		for _, m := range old.Voters {
+			if !in(now.Voters, m.Node) {
+				away = append(away, m.Node)
+			}
+		}
+		for _, m := range now.Voters {
+			if !in(old.Voters, m.Node) {
+				here = append(here, m.Node)
+			}
+		}
+		for j, n := range here {
+			if !in(old.Learners, n) {
+				out = append(out, Step{i, "follow until level", "", string(n)})
+			}
+			if j < len(away) {
+				out = append(out, Step{i, "replace voter, in force WND instances later, wait until level", string(away[j]), string(n)})
+			}
+		}
+		for j, n := range away {
+			if j == 0 && len(old.Voters) > 0 && old.Voters[0].Node == n {
+				out = append(out, Step{i, "hand leadership over", string(n), ""})
+			}
+		}
+		for _, m := range old.Learners {
+			if !in(now.Learners, m.Node) && !in(now.Voters, m.Node) {
+				out = append(out, Step{i, "stop following", string(m.Node), ""})
+			}
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].Shard < out[b].Shard })
+	return out
+}
+
+// Model is the paper's model of a leader (section 4, the LAN case), with the
+// disk's sync added to the latency of an instance. Times are in milliseconds,
+// sizes in bytes.
+type Model struct {
+	Replicas   int     `json:"replicas"`
+	Mbps       float64 `json:"mbps"`
+	Latency    float64 `json:"latency_ms"` // one way
+	Sync       float64 `json:"sync_ms"`
+	Request    float64 `json:"request_bytes"`
+	Answer     float64 `json:"answer_bytes"`
+	CliByte    float64 `json:"cli_ms_per_byte"`
+	CliFixed   float64 `json:"cli_ms"`
+	RepByte    float64 `json:"rep_ms_per_byte"`
+	RepFixed   float64 `json:"rep_ms"`
+	Exec       float64 `json:"exec_ms"`
+	RatePerSec float64 `json:"rate_per_s"`
+}
+
+// Row is the model's word on one batch size.
+type Row struct {
+	Requests  int     `json:"requests"`    // k
+	Bytes     float64 `json:"bytes"`       // S_2a
+	Fill      float64 `json:"fill_ms"`     // to gather them at the given rate
+	Instance  float64 `json:"instance_ms"` // T_inst
+	WndCPU    float64 `json:"w_cpu"`
+	WndNet    float64 `json:"w_net"`
+	Wnd       int     `json:"wnd"`
+	PerSecond float64 `json:"max_per_s"`
+}
+
+// Rows works the formulas out for batches of 1, 2, 4, ... requests.
+func (m Model) Rows(largest int) (out []Row) {
+	n := float64(m.Replicas)
+	bytesPerMs := m.Mbps * 1e6 / 8 / 1000
+	half := math.Floor(n / 2)
+	for k := 1; k <= largest; k *= 2 {
+		kf := float64(k)
+		s2a, s2b := kf*m.Request+32, 32.0
+		net := ((n-1)*s2a + kf*m.Answer) / bytesPerMs
+		cpu := kf*(m.CliFixed+m.CliByte*(m.Request+m.Answer)) + (n-1)*(m.RepFixed+m.RepByte*(s2a+s2b)) + kf*m.Exec
+		tCPU := cpu + half*s2a/(2*bytesPerMs)
+		tLat := half*s2a/bytesPerMs + 2*m.Latency + m.Sync + kf*m.Exec + kf*m.Answer/bytesPerMs
+		inst := max(tCPU, net, tLat)
+		r := Row{Requests: k, Bytes: s2a, Instance: inst, WndCPU: inst / cpu, WndNet: inst / net, PerSecond: 1000 * kf / max(cpu, net)}
+		r.Wnd = int(math.Ceil(min(r.WndCPU, r.WndNet)))
+		if m.RatePerSec > 0 {
+			r.Fill = 1000 * (kf - 1) / m.RatePerSec
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -115,7 +115,13 @@
 func FirstError(err error) error {
 	e := errors.Errors(err)[0]
 	f, a := e.Msg()
-	return fmt.Errorf("field %s: %s", strings.Join(e.Path(), "."), strings.ReplaceAll(fmt.Sprintf(f, a...), "\n", " "))
+	var path []string
+	for _, p := range e.Path() {
+		if !strings.HasPrefix(p, "#") { // the schema's own name is no field
+			path = append(path, p)
+		}
+	}
+	return fmt.Errorf("field %s: %s", strings.Join(path, "."), strings.ReplaceAll(fmt.Sprintf(f, a...), "\n", " "))
 }
 
 func set(f reflect.Value, val string) error {
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -37,6 +37,7 @@
 	pulseAt   unit.Millis
 	dutyAt    unit.Millis
 	leaving   bool
+	full      bool // the disk is nearly full: nothing new is taken
 	kin       *kin.Watch
 }
 
@@ -363,7 +364,11 @@
 func (d *Daemon) propose(l *lane.Link, x trace.Propose) {
 	deny := trace.Deny{Group: x.Group}
 	for _, r := range x.Reqs {
-		if err := d.ch.Submit(x.Group, r); err != nil {
+		err := accord.ErrFull
+		if !d.full {
+			err = d.ch.Submit(x.Group, r)
+		}
+		if err != nil {
 			deny.Full = errors.Is(err, accord.ErrFull)
 			deny.IDs = append(deny.IDs, r.ID)
 		}
@@ -392,11 +397,31 @@
 	}
 	if now >= d.dutyAt {
 		d.dutyAt = now + 1000
+		d.room()
 		d.duties(now)
 	}
 	return min(wait, (d.pulseAt - now).Span(), (d.dutyAt - now).Span(), (d.kin.Step(now) - now).Span())
 }
 
+// room watches the disk: past 85% nothing new is taken, until snapshots and
+// compaction bring it below 75%.
+func (d *Daemon) room() {
+	limit := int64(d.set.DiskMB) << 20
+	if limit == 0 {
+		return
+	}
+	used := vault.Size(d.set.DataDir)
+	if was := d.full; used*100 > limit*85 || was && used*100 > limit*75 {
+		d.full = true
+		d.ch.Squeeze()
+	} else {
+		d.full = false
+	}
+	if d.full {
+		unit.Log("disk-near-full", "used_mb", used>>20, "limit_mb", d.set.DiskMB)
+	}
+}
+
 // duties are done by each group's leader, under its epoch.
 func (d *Daemon) duties(now unit.Millis) {
 	n := d.norm.News
@@ -474,6 +499,7 @@
 			f.flush()
 			l.Send(trace.KindBye, trace.Bye{})
 		}
+		d.ch.Mark()
 		close(done)
 	})
 	<-done
@@ -483,3 +509,8 @@
 	d.actor.Stop()
 	d.vault.Close()
 }
+
+// Hup takes over what may change in a running process: whom to ask.
+func (d *Daemon) Hup(set *ground.Settings) {
+	d.actor.Do(func() { d.norm.Seeds = ground.Norms(set) })
+}
--- /dev/null
+++ b/internal/lore/lore.go
@@ -0,0 +1,181 @@
+// Package lore reads stores' data directories offline: it checks what is on the
+// disk, compares replicas, and runs their logs through the same Apply again.
+package lore
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sort"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/mend"
+	"oxbowdeck/internal/tale"
+	"oxbowdeck/internal/unit"
+	"oxbowdeck/internal/vault"
+)
+
+// Group is what one directory holds of one group.
+type Group struct {
+	Dir       string      `json:"dir"`
+	Group     unit.Group  `json:"group"`
+	Promised  unit.Ballot `json:"-"`
+	Epoch     uint64      `json:"epoch"`
+	Snapshot  unit.Slot   `json:"snapshot"`
+	Decided   unit.Slot   `json:"decided"`
+	Undecided int         `json:"undecided"`
+	Digest    string      `json:"state_digest"`
+	At        unit.Slot   `json:"state_at"`
+	entries   map[unit.Slot]accord.Entry
+	snap      *vault.Snapshot
+}
+
+// Fault is one thing found wrong.
+type Fault struct {
+	Dir   string     `json:"dir"`
+	Group unit.Group `json:"group"`
+	Slot  unit.Slot  `json:"slot,omitempty"`
+	Other string     `json:"other,omitempty"`
+	What  string     `json:"what"`
+}
+
+func (f Fault) String() string {
+	s := fmt.Sprintf("%s: group %d", f.Dir, f.Group)
+	if f.Slot > 0 {
+		s += fmt.Sprintf(" instance %d", f.Slot)
+	}
+	if f.Other != "" {
+		s += " against " + f.Other
+	}
+	return s + ": " + f.What
+}
+
+// Line is one event of a story.
+type Line struct {
+	Pos     string       `json:"position"`
+	Slot    unit.Slot    `json:"instance"`
+	Verb    string       `json:"verb"`
+	Topic   unit.Topic   `json:"topic"`
+	Client  unit.Client  `json:"client"`
+	Seq     unit.Seq     `json:"call_seq,omitempty"`
+	Verdict tale.Verdict `json:"verdict,omitempty"`
+	Edge    unit.Node    `json:"edge,omitempty"`
+}
+
+// Ask narrows a reading.
+type Ask struct {
+	Bounds tale.Bounds
+	Stop   unit.Slot // replay no further, if not 0
+	Topic  unit.Topic
+	Client unit.Client
+	Tell   func(Group, Line) // gets the story, if set
+}
+
+// Read checks one directory and replays its groups.
+func Read(dir string, a Ask) (groups []Group, faults []Fault, err error) {
+	v, err := vault.Open(dir, true)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer v.Close()
+	ids, err := v.Groups()
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, id := range ids {
+		boot, snap, err := v.Load(id)
+		if err != nil {
+			return nil, nil, err
+		}
+		g := Group{Dir: dir, Group: id, Promised: boot.Promised, Epoch: boot.Promised.Round(), Snapshot: boot.Base,
+			Decided: boot.Commit, entries: map[unit.Slot]accord.Entry{}, snap: snap}
+		bad := func(s unit.Slot, f string, x ...any) {
+			faults = append(faults, Fault{Dir: dir, Group: id, Slot: s, What: fmt.Sprintf(f, x...)})
+		}
+		for _, e := range boot.Entries {
+			g.entries[e.Slot] = e
+			if e.Slot > boot.Commit {
+				g.Undecided++
+			}
+			if e.Ballot > boot.Promised {
+				bad(e.Slot, "accepted under epoch %d, above the promise of epoch %d", e.Ballot.Round(), boot.Promised.Round())
+			}
+			if _, err := accord.Decode(e.Val); err != nil {
+				bad(e.Slot, "the value can't be read: %v", err)
+			}
+		}
+		for s := boot.Base + 1; s <= boot.Commit; s++ {
+			if _, ok := g.entries[s]; !ok {
+				bad(s, "decided, and not there")
+			}
+		}
+		if err := g.replay(a, func(s unit.Slot, what string) { bad(s, "%s", what) }); err != nil {
+			return nil, nil, err
+		}
+		groups = append(groups, g)
+	}
+	return groups, faults, nil
+}
+
+var verbs = map[tale.Verb]string{tale.Publish: "publish", tale.Sit: "sit", tale.Rise: "rise", tale.Gone: "gone"}
+
+// replay runs the decided log through the shard's own Apply.
+func (g *Group) replay(a Ask, bad func(unit.Slot, string)) error {
+	s := tale.New(a.Bounds)
+	if g.snap != nil && len(g.snap.State) > 0 {
+		if err := s.Load(g.snap.State); err != nil {
+			bad(g.Snapshot, err.Error())
+			return nil
+		}
+	}
+	for n := g.Snapshot + 1; n <= g.Decided && (a.Stop == 0 || n <= a.Stop); n++ {
+		e, ok := g.entries[n]
+		if !ok {
+			break
+		}
+		v, err := accord.Decode(e.Val)
+		if err != nil {
+			break
+		}
+		s.Apply(accord.Decided{Slot: n, Value: v, Raw: e.Val}, func(x tale.Event) {
+			if a.Tell == nil || a.Topic != "" && x.Cmd.Topic != a.Topic || a.Client != "" && x.Cmd.Client != a.Client {
+				return
+			}
+			a.Tell(*g, Line{Pos: unit.Cursor(g.Group, x.Pos), Slot: n, Verb: verbs[x.Cmd.Verb], Topic: x.Cmd.Topic,
+				Client: x.Cmd.Client, Seq: x.Cmd.Seq, Verdict: x.Verdict, Edge: x.Cmd.Edge})
+		})
+		g.At = n
+	}
+	if g.At == 0 {
+		g.At = g.Snapshot
+	}
+	b, err := s.Save()
+	if err != nil {
+		return err
+	}
+	d := sha256.Sum256(b)
+	g.Digest = hex.EncodeToString(d[:8])
+	return nil
+}
+
+// Compare holds the copies of several directories against each other.
+func Compare(all []Group) (faults []Fault) {
+	sort.SliceStable(all, func(i, j int) bool { return all[i].Group < all[j].Group })
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			if a.Group != b.Group {
+				break
+			}
+			if s, differ := mend.Differ(a.copy(), b.copy()); differ {
+				faults = append(faults, Fault{Dir: a.Dir, Group: a.Group, Slot: s, Other: b.Dir, What: "decided values differ"})
+			} else if a.At == b.At && a.Digest != b.Digest {
+				faults = append(faults, Fault{Dir: a.Dir, Group: a.Group, Slot: a.At, Other: b.Dir, What: "states differ after the same log"})
+			}
+		}
+	}
+	return faults
+}
+
+func (g Group) copy() mend.Copy {
+	return mend.Copy{First: g.Snapshot + 1, Last: g.Decided, At: func(s unit.Slot) []byte { return g.entries[s].Val }}
+}
--- /dev/null
+++ b/internal/lore/lore_test.go
@@ -0,0 +1,128 @@
+package lore
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/tale"
+	"oxbowdeck/internal/unit"
+	"oxbowdeck/internal/vault"
+)
+
+var bounds = tale.Bounds{Resend: 1000, Marks: 10, Topics: 10, Live: 10, SweepMs: 100}
+
+func value(t *testing.T, seq unit.Seq, body string) []byte {
+	t.Helper()
+	cmd, err := cbor.Marshal(tale.Command{Verb: tale.Publish, Topic: "a.x", Client: "ann", Seq: seq, Body: []byte(body), Keep: 1000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := cbor.Marshal(accord.Value{Stamp: 1, Reqs: []accord.Request{{ID: accord.ID{Origin: "ann", Seq: uint64(seq)}, Data: cmd}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// dir writes a store's directory with a log of six decided instances; change
+// alters an entry before it is written, and nil leaves it out.
+func dir(t *testing.T, change func(*accord.Entry) *accord.Entry) string {
+	t.Helper()
+	d := t.TempDir()
+	v, err := vault.Open(d, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var recs []accord.Record
+	for s := unit.Slot(1); s <= 6; s++ {
+		e := &accord.Entry{Slot: s, Ballot: unit.MakeBallot(3, 1), Val: value(t, unit.Seq(s), "body")}
+		if change != nil {
+			e = change(e)
+		}
+		if e != nil {
+			recs = append(recs, accord.Record{Promised: unit.MakeBallot(3, 1), Entry: e, Commit: 6})
+		}
+	}
+	done := make(chan error, 1)
+	v.Save(1, recs, func(err error) { done <- err })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	v.Close()
+	return d
+}
+
+func TestReadAndCompare(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*accord.Entry) *accord.Entry
+		slot   unit.Slot
+		what   string
+	}{
+		{"sound", nil, 0, ""},
+		{"hole", func(e *accord.Entry) *accord.Entry {
+			if e.Slot == 4 {
+				return nil
+			}
+			return e
+		}, 4, "not there"},
+		{"epoch above the promise", func(e *accord.Entry) *accord.Entry {
+			if e.Slot == 2 {
+				e.Ballot = unit.MakeBallot(9, 1)
+			}
+			return e
+		}, 2, "above the promise"},
+		{"garbage", func(e *accord.Entry) *accord.Entry {
+			if e.Slot == 3 {
+				e.Val = []byte{0xff, 1}
+			}
+			return e
+		}, 3, "can't be read"},
+		{"another value", func(e *accord.Entry) *accord.Entry {
+			if e.Slot == 5 {
+				e.Val = value(t, 5, "other")
+			}
+			return e
+		}, 5, "decided values differ"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var all []Group
+			var faults []Fault
+			for _, d := range []string{dir(t, nil), dir(t, c.change)} {
+				g, f, err := Read(d, Ask{Bounds: bounds})
+				if err != nil {
+					t.Fatal(err)
+				}
+				all, faults = append(all, g...), append(faults, f...)
+			}
+			faults = append(faults, Compare(all)...)
+			if c.what == "" {
+				if len(faults) > 0 || all[0].Digest != all[1].Digest || all[0].Decided != 6 {
+					t.Fatalf("faults %v in %+v", faults, all)
+				}
+				return
+			}
+			for _, f := range faults {
+				if f.Slot == c.slot && strings.Contains(f.What, c.what) {
+					return
+				}
+			}
+			t.Fatalf("not found; faults: %v", faults)
+		})
+	}
+}
+
+func TestReplayStopsAndTells(t *testing.T) {
+	d := dir(t, nil)
+	var told []Line
+	g, _, err := Read(d, Ask{Bounds: bounds, Stop: 4, Client: "ann", Tell: func(_ Group, l Line) { told = append(told, l) }})
+	if err != nil || g[0].At != 4 || len(told) != 4 || told[3].Seq != 4 {
+		t.Fatalf("%v: at %d, told %v", err, g[0].At, told)
+	}
+	if _, _, err := Read(t.TempDir(), Ask{Bounds: bounds}); err == nil {
+		t.Fatal("an empty folder was read as a store's")
+	}
+}
--- a/internal/plot/whole_test.go
+++ b/internal/plot/whole_test.go
@@ -14,6 +14,7 @@
 	"oxbowdeck/internal/edict"
 	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/hold"
+	"oxbowdeck/internal/lore"
 	"oxbowdeck/internal/voice"
 	"oxbowdeck/internal/will"
 )
@@ -226,13 +227,41 @@
 	// a draining edge sends its clients on
 	stop := stops["edge-zone-1-1"]
 	delete(stops, "edge-zone-1-1")
-	go func() { a.want("REDIRECT 127.0.77."); a.c.Close() }()
+	sent := make(chan string, 1)
+	go func() {
+		l, _ := a.r.ReadString('\n')
+		a.c.Close()
+		sent <- l
+	}()
 	began := time.Now()
 	stop()
+	if l := <-sent; !strings.HasPrefix(l, "REDIRECT 127.0.77.") {
+		t.Fatalf("sent on with %q", l)
+	}
 	if time.Since(began) > 3*time.Second {
 		t.Fatalf("draining took %v", time.Since(began))
 	}
 	if at == "" {
 		t.Fatal("no place in DELIVER")
 	}
+
+	// stopped in order, the stores' disks hold the same decided log
+	for n, f := range stops {
+		f()
+		delete(stops, n)
+	}
+	var groups []lore.Group
+	for n, x := range by {
+		if x.Role != "store" {
+			continue
+		}
+		g, faults, err := lore.Read(strings.TrimSuffix(x.Settings, ".conf")+".data", lore.Ask{Bounds: hold.Bounds(&ground.Settings{ResendS: 10})})
+		if err != nil || len(faults) > 0 || len(g) != 2 || g[0].Decided+g[1].Decided == 0 {
+			t.Fatalf("%s: %v %v %+v", n, err, faults, g)
+		}
+		groups = append(groups, g...)
+	}
+	if f := lore.Compare(groups); len(f) > 0 {
+		t.Fatal(f)
+	}
 }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -6,7 +6,9 @@
 import (
 	"encoding/binary"
 	"errors"
+	"os"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/syndtr/goleveldb/leveldb"
@@ -25,6 +27,8 @@
 	more chan struct{}
 	shut bool
 	done chan struct{}
+
+	compacting atomic.Bool
 }
 
 type job struct {
@@ -243,3 +247,39 @@
 	}
 	return true, unit.Err("decode "+name, "disk", cbor.Unmarshal(b, into))
 }
+
+// Groups lists the groups the disk holds anything of.
+func (v *Vault) Groups() (out []unit.Group, err error) {
+	it := v.db.NewIterator(util.BytesPrefix([]byte{'g'}), &opt.ReadOptions{DontFillCache: true})
+	defer it.Release()
+	for ok := it.First(); ok; {
+		g := unit.Group(it.Key()[1])
+		out = append(out, g)
+		ok = g < 255 && it.Seek([]byte{'g', byte(g) + 1})
+	}
+	return out, unit.Err("list groups", "disk", it.Error())
+}
+
+// Size is how many bytes the directory takes.
+func Size(dir string) (n int64) {
+	all, err := os.ReadDir(dir)
+	if err != nil {
+		return 0
+	}
+	for _, e := range all {
+		if i, err := e.Info(); err == nil {
+			n += i.Size()
+		}
+	}
+	return n
+}
+
+// Compact gives back the room of rows that were dropped.
+func (v *Vault) Compact() {
+	if v.compacting.CompareAndSwap(false, true) {
+		go func() {
+			defer v.compacting.Store(false)
+			v.db.CompactRange(util.Range{})
+		}()
+	}
+}
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -975,3 +975,8 @@
 	d.hub.Close(200 * time.Millisecond)
 	d.actor.Stop()
 }
+
+// Hup takes over what may change in a running process: whom to ask.
+func (d *Daemon) Hup(set *ground.Settings) {
+	d.actor.Do(func() { d.norm.Seeds = ground.Norms(set) })
+}
