What is late goes again on a second path between zones

Ruled out: the batch timeout, the deflater. One change: unanswered accepts, undecided entries and forwards go once more on a second connection, later than the replica's usual time.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -27,7 +27,8 @@
 	chosen  bool
 	acks    map[unit.Num]bool
 	sentAt  unit.Millis
-	pending bool // proposed by this leader, undecided
+	pending bool        // proposed by this leader, undecided
+	since   unit.Millis // a follower holds it since
 }
 
 type wait struct {
@@ -44,6 +45,18 @@
 	commit unit.Slot
 }
 
+// course is what a leader sent to one replica and heard of it.
+type course struct {
+	open []sent
+	took unit.Millis // an answer's usual time, in eighths
+}
+
+type sent struct {
+	slot   unit.Slot
+	at     unit.Millis
+	nudged bool
+}
+
 // Core is one replica of one group.
 type Core struct {
 	conf     Conf
@@ -82,6 +95,8 @@
 	draining bool      // this replica leaves: it leads no more
 	seen     map[unit.Num]unit.Millis
 	seatNext []Member
+	courses  map[unit.Num]*course   // leader: what each replica has yet to answer
+	nudgedAt unit.Millis            // follower: when it last asked on the second path
 	levels   map[unit.Num]unit.Slot // leader: what each member said it holds
 	seated   unit.Slot              // the newest membership came into force here
 	told     unit.Slot              // decided, by the leader's last word
@@ -207,12 +222,12 @@
 
 func (c *Core) send(to unit.Node, m Msg) {
 	m.Group, m.From = c.conf.Group, c.conf.Self.Num
-	c.eff.Sends = append(c.eff.Sends, Envelope{to, m})
+	c.eff.Sends = append(c.eff.Sends, Envelope{To: to, Msg: m})
 }
 
 func (c *Core) envelope(to unit.Node, m Msg) Envelope {
 	m.Group, m.From = c.conf.Group, c.conf.Self.Num
-	return Envelope{to, m}
+	return Envelope{To: to, Msg: m}
 }
 
 func (c *Core) save(r Record, w wait) {
@@ -284,10 +299,12 @@
 			}
 		}
 		c.pump(now)
+		c.nudge(now)
 		if now-c.beatAt >= c.conf.Beat {
 			c.beat(now)
 		}
 	default:
+		c.ask(now)
 		if now >= c.askAt() {
 			c.canvass(now)
 		}
@@ -301,9 +318,84 @@
 		if len(c.open) > 0 && c.openAt+c.conf.Delta < w {
 			w = c.openAt + c.conf.Delta
 		}
+		for _, k := range c.courses {
+			for _, o := range k.open {
+				if !o.nudged {
+					w = min(w, o.at+k.patience(c.conf.Nudge))
+					break
+				}
+			}
+		}
 		return w
 	}
-	return c.askAt()
+	w := c.askAt()
+	if c.held(c.commit+1) && c.leadNode != "" {
+		w = min(w, max(c.log[c.commit+1].since, c.nudgedAt)+c.conf.Nudge)
+	}
+	return w
+}
+
+func (c *Core) held(s unit.Slot) bool { e := c.log[s]; return e != nil && !e.chosen }
+
+// patience is how long an answer may take before it is asked for again: more
+// than usual for that replica, so that a slow one is not pressed.
+func (k *course) patience(least unit.Millis) unit.Millis { return max(least, 3*k.took/8) }
+
+// nudge sends what a replica has not answered once more, on the second path. A
+// packet lost on the first holds up everything behind it; the engine needs no
+// order, so what is late need not wait.
+func (c *Core) nudge(now unit.Millis) {
+	for _, m := range c.peers(true, true) {
+		k := c.courses[m.Num]
+		if k == nil {
+			continue
+		}
+		n := 0
+		for _, o := range k.open {
+			if now-o.at > 4*c.conf.Patience {
+				continue // it is gone, or will fetch
+			}
+			if !o.nudged && now-o.at >= k.patience(c.conf.Nudge) {
+				o.nudged = true
+				if e := c.log[o.slot]; e != nil && now-c.seen[m.Num] < 2*c.conf.Patience {
+					c.eff.Sends = append(c.eff.Sends, Envelope{To: m.Node, Spare: true, Msg: Msg{Kind: Accept, Group: c.conf.Group,
+						From: c.conf.Self.Num, Ballot: c.leader, Slot: o.slot, Commit: c.commit, Val: e.val}})
+				}
+			}
+			k.open[n] = o
+			n++
+		}
+		k.open = k.open[:n]
+	}
+}
+
+// answered notes an answer, and how long it took.
+func (c *Core) answered(now unit.Millis, num unit.Num, s unit.Slot) {
+	k := c.courses[num]
+	if k == nil {
+		return
+	}
+	for i, o := range k.open {
+		if o.slot == s {
+			if !o.nudged {
+				k.took += now - o.at - k.took/8
+			}
+			k.open = append(k.open[:i], k.open[i+1:]...)
+			return
+		}
+	}
+}
+
+// ask is the follower's side: what it accepted should be decided by now.
+func (c *Core) ask(now unit.Millis) {
+	if c.leadNode == "" || !c.held(c.commit+1) || now-c.heardAt > c.conf.Patience {
+		return
+	}
+	if now-max(c.log[c.commit+1].since, c.nudgedAt) >= c.conf.Nudge {
+		c.nudgedAt = now
+		c.eff.Sends = append(c.eff.Sends, Envelope{To: c.leadNode, Spare: true,
+			Msg: Msg{Kind: Level, Group: c.conf.Group, From: c.conf.Self.Num, Ballot: c.leader, Commit: c.commit, Yes: true}})
+	}
 }
 
 const never = unit.Millis(1) << 60
@@ -414,6 +506,7 @@
 		c.accept(now, from, m)
 	case Accepted:
 		if c.role == Leader && m.Ballot == c.leader {
+			c.answered(now, m.From, m.Slot)
 			c.vote(now, m.Slot, m.From)
 			c.pump(now)
 		}
@@ -430,6 +523,11 @@
 	case Level:
 		if c.role == Leader && m.Ballot == c.leader {
 			c.levels[m.From] = max(c.levels[m.From], m.Commit)
+			if m.Yes && m.Commit < c.commit {
+				e := c.envelope(from, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit})
+				e.Spare = true
+				c.eff.Sends = append(c.eff.Sends, e)
+			}
 		}
 	case Nack:
 		if m.Ballot > c.promised {
@@ -536,6 +634,7 @@
 	c.ledAt, c.ledClock = now, c.clock
 	c.taken = map[ID]bool{}
 	c.levels = map[unit.Num]unit.Slot{}
+	c.courses = map[unit.Num]*course{}
 	c.seated = c.commit + 1 // what others hold is not known to a new leader
 	c.leader, c.leadNode = c.promised, c.conf.Self.Node
 	c.next = c.commit + 1
@@ -566,16 +665,13 @@
 		c.eff.Sends = append(c.eff.Sends, yes)
 	} else if e != nil && e.bal == m.Ballot {
 		// a repeat of what is held already: the answer may still wait for the disk
-		if !c.waiting(m.Slot) && has(c.seatsAt(m.Slot), c.conf.Self.Num) {
+		if !c.waiting(m.Slot) {
 			c.eff.Sends = append(c.eff.Sends, yes)
 		}
 	} else {
-		c.log[m.Slot] = &slot{bal: m.Ballot, val: m.Val}
-		w := wait{self: []unit.Slot{m.Slot}, bal: m.Ballot}
-		if has(c.seatsAt(m.Slot), c.conf.Self.Num) {
-			w.msgs = []Envelope{yes}
-		}
-		c.saveEntry(m.Slot, w)
+		c.log[m.Slot] = &slot{bal: m.Ballot, val: m.Val, since: now}
+		// one without a vote answers too: the leader learns that it got there
+		c.saveEntry(m.Slot, wait{self: []unit.Slot{m.Slot}, bal: m.Ballot, msgs: []Envelope{yes}})
 	}
 	c.learn(now, from, m.Ballot, m.Commit)
 }
@@ -748,6 +844,14 @@
 		c.log[s] = &slot{bal: c.leader, val: v, pending: true, acks: map[unit.Num]bool{}, sentAt: now}
 		for _, m := range c.peers(true, true) {
 			c.send(m.Node, Msg{Kind: Accept, Ballot: c.leader, Slot: s, Commit: c.commit, Val: v})
+			k := c.courses[m.Num]
+			if k == nil {
+				k = &course{}
+				c.courses[m.Num] = k
+			}
+			if len(k.open) < 8*c.conf.Wnd {
+				k.open = append(k.open, sent{slot: s, at: now})
+			}
 		}
 		c.toldAt, c.beatAt = c.commit, now
 		c.saveEntry(s, wait{self: []unit.Slot{s}, bal: c.leader})
--- a/internal/accord/core_test.go
+++ b/internal/accord/core_test.go
@@ -12,7 +12,7 @@
 	boot.Eras = []Era{{Seats: seats}}
 	self := Member{Num: num, Node: unit.Node(rune('a' + num - 1))}
 	return New(Conf{Self: self, Wnd: 3, WndBytes: 1000, Bsz: 200, Delta: 10, Beat: 50, Patience: 200, Stagger: 50,
-		OpenBytes: 10000, FeedBytes: 1000, Impatience: 30}, boot, 0)
+		OpenBytes: 10000, FeedBytes: 1000, Impatience: 30, Nudge: 40}, boot, 0)
 }
 
 func kinds(e Effects, k Kind) (n int, last Msg) {
@@ -249,3 +249,57 @@
 		t.Fatalf("the record says %d once entry 1 is on disk", r.Commit)
 	}
 }
+
+func spares(e Effects) (out []Envelope) {
+	for _, s := range e.Sends {
+		if s.Spare {
+			out = append(out, s)
+		}
+	}
+	return
+}
+
+// TestLateAnswersGoOnTheSecondPath: once for each instance and replica, and not
+// before a replica is later than it usually is.
+func TestLateAnswersGoOnTheSecondPath(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	c.Take(299, "c", Msg{Kind: Accepted, From: 3, Ballot: c.leader, Slot: 99}) // c lives
+	c.Submit(300, req("x", 1, 300))
+	c.Drain()
+	c.Take(310, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
+	c.Tick(339)
+	if n := len(spares(c.Drain())); n != 0 {
+		t.Fatalf("%d sent before the time", n)
+	}
+	if w := c.NextWake(); w > 340 {
+		t.Fatalf("wakes at %d, the answer is late at 340", w)
+	}
+	c.Tick(340)
+	if s := spares(c.Drain()); len(s) != 1 || s[0].To != "c" || s[0].Msg.Slot != 1 {
+		t.Fatalf("sent %v", s)
+	}
+	c.Tick(380)
+	if n := len(spares(c.Drain())); n != 0 {
+		t.Fatal("sent a third time")
+	}
+	// a follower that holds what should be decided asks on the second path
+	f := replica(2, three, Boot{})
+	b := unit.MakeBallot(1, 1)
+	f.Take(10, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: 1, Val: encode(Value{})})
+	f.Tick(49)
+	if n := len(spares(f.Drain())); n != 0 {
+		t.Fatal("asked too early")
+	}
+	f.Tick(50)
+	s := spares(f.Drain())
+	if len(s) != 1 || s[0].Msg.Kind != Level || !s[0].Msg.Yes {
+		t.Fatalf("asked with %v", s)
+	}
+	c.Synced(381, 99)
+	c.Drain()
+	c.Take(382, "b", Msg{Kind: Level, From: 2, Ballot: c.leader, Yes: true})
+	if s := spares(c.Drain()); len(s) != 1 || s[0].Msg.Kind != Beat || s[0].Msg.Commit != 1 {
+		t.Fatalf("answered with %v", s)
+	}
+}
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -108,8 +108,9 @@
 
 // Envelope is a message with its address.
 type Envelope struct {
-	To  unit.Node
-	Msg Msg
+	To    unit.Node
+	Msg   Msg
+	Spare bool // on the second path: the first seems held up
 }
 
 // Record is what must reach the disk: a promise, or an accepted entry, with the
@@ -157,6 +158,7 @@
 	OpenBytes  int         // most bytes waiting for a window place
 	FeedBytes  int         // most bytes in one Feed
 	Impatience unit.Millis // a reset connection leaves this much patience
+	Nudge      unit.Millis // an answer later than this is asked for on the second path
 }
 
 // Boot is what the disk (or a snapshot) says at start.
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -164,7 +164,11 @@
 			ch.Vault.Save(p.group, e.Saves, synced)
 		}
 		for _, s := range e.Sends {
-			ch.Hub.Send(s.To, ch.Kind, s.Msg)
+			l := ch.Hub.To(s.To)
+			if s.Spare {
+				l = ch.Hub.Spare(s.To)
+			}
+			l.Send(ch.Kind, s.Msg)
 		}
 		for _, d := range e.Decided {
 			p.Machine.Apply(d)
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -63,7 +63,7 @@
 		Delta:    unit.Millis(set.Int("norm_batch_ms", 2)),
 		Beat:     unit.Millis(set.Int("norm_beat_ms", 200)),
 		Patience: unit.Millis(set.Int("norm_patience_ms", 700)),
-		Stagger:  150, OpenBytes: 8 << 20, FeedBytes: 512 << 10, Impatience: 80,
+		Stagger:  150, OpenBytes: 8 << 20, FeedBytes: 512 << 10, Impatience: 80, Nudge: 60,
 	}
 }
 
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -68,6 +68,7 @@
 		OpenBytes:  set.Int("open_kb", 2048) << 10,
 		FeedBytes:  set.Int("feed_kb", 256) << 10,
 		Impatience: unit.Millis(set.Int("impatience_ms", 60)),
+		Nudge:      unit.Millis(set.Int("nudge_ms", 30)),
 	}
 }
 
@@ -363,7 +364,14 @@
 
 func (d *Daemon) propose(l *lane.Link, x trace.Propose) {
 	deny := trace.Deny{Group: x.Group}
+	var known []trace.Outcome
 	for _, r := range x.Reqs {
+		if x.Again {
+			if v, ok := d.decided(x.Group, r); ok {
+				known = append(known, trace.Outcome{ID: r.ID, Verdict: v})
+				continue
+			}
+		}
 		err := accord.ErrFull
 		if !d.full {
 			err = d.ch.Submit(x.Group, r)
@@ -376,6 +384,20 @@
 	if len(deny.IDs) > 0 {
 		l.Send(trace.KindDeny, deny)
 	}
+	if len(known) > 0 {
+		l.Send(trace.KindKnown, trace.Flow{Outcomes: known})
+	}
+}
+
+// decided looks a call that is forwarded again up in the state applied here:
+// its outcome may be on the way to the edge, behind a packet that was lost.
+func (d *Daemon) decided(g unit.Group, r accord.Request) (tale.Verdict, bool) {
+	s := d.shards[g]
+	var c tale.Command
+	if s == nil || cbor.Unmarshal(r.Data, &c) != nil || c.Verb != tale.Publish {
+		return 0, false
+	}
+	return s.state.Known(c.Client, c.Topic, c.Seq)
 }
 
 func (d *Daemon) step() time.Duration {
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -53,13 +53,20 @@
 	down   func(*Link)
 	Far    func(unit.Node) bool // is the node in another zone? those bytes are dear
 	mu     sync.Mutex
-	out    map[unit.Node]*Link
+	out    map[path]*Link
 	failed map[unit.Node]failure // peers that could not be reached lately
 	in     map[*Link]bool
 	closed bool
 	ln     net.Listener
 }
 
+// path is one of the two links to a peer: when a lost packet holds the first
+// up, what is urgent goes again on the second.
+type path struct {
+	to    unit.Node
+	spare bool
+}
+
 // failure holds dials back: each one that fails doubles the pause, with jitter.
 type failure struct {
 	pause time.Duration
@@ -68,7 +75,7 @@
 
 // New makes a hub. handle runs on the reader of each link, down when one ends.
 func New(self Hello, b Bounds, handle func(*Link, Kind, []byte), down func(*Link)) *Hub {
-	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[unit.Node]*Link{}, failed: map[unit.Node]failure{}, in: map[*Link]bool{}}
+	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[path]*Link{}, failed: map[unit.Node]failure{}, in: map[*Link]bool{}}
 }
 
 // Listen takes connections from peers.
@@ -123,6 +130,7 @@
 	mu    sync.Mutex
 	peer  Hello
 	to    unit.Node // set on links this side dials
+	spare bool
 	conn  net.Conn
 	buf   []byte
 	ready chan struct{}
@@ -144,18 +152,24 @@
 func (l *Link) Dialed() bool { return l.to != "" }
 
 // To gives the link to a node, dialing if there is none.
-func (h *Hub) To(n unit.Node) *Link {
+func (h *Hub) To(n unit.Node) *Link { return h.link(path{to: n}) }
+
+// Spare gives the second link to a node.
+func (h *Hub) Spare(n unit.Node) *Link { return h.link(path{n, true}) }
+
+func (h *Hub) link(p path) *Link {
+	n := p.to
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l := h.out[n]; l != nil {
+	if l := h.out[p]; l != nil {
 		return l
 	}
-	l := &Link{hub: h, to: n, ready: make(chan struct{}, 1)}
+	l := &Link{hub: h, to: n, spare: p.spare, ready: make(chan struct{}, 1)}
 	if h.closed || time.Now().Before(h.failed[n].until) {
 		l.dead = true
 		return l
 	}
-	h.out[n] = l
+	h.out[p] = l
 	go l.dial()
 	return l
 }
@@ -164,7 +178,7 @@
 func (h *Hub) Has(n unit.Node) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.out[n] != nil
+	return h.out[path{to: n}] != nil
 }
 
 // Send queues a frame to n; lost if the link breaks first.
@@ -378,8 +392,8 @@
 		c.Close()
 	}
 	l.hub.mu.Lock()
-	if l.to != "" && l.hub.out[l.to] == l {
-		delete(l.hub.out, l.to)
+	if p := (path{l.to, l.spare}); l.to != "" && l.hub.out[p] == l {
+		delete(l.hub.out, p)
 	}
 	delete(l.hub.in, l)
 	l.hub.mu.Unlock()
--- a/internal/tale/tale.go
+++ b/internal/tale/tale.go
@@ -225,6 +225,20 @@
 	return Fresh
 }
 
+// Known tells the verdict of a call that is decided already.
+func (s *State) Known(c unit.Client, t unit.Topic, q unit.Seq) (Verdict, bool) {
+	m := s.marks[markKey{Client: c, Topic: t}]
+	if m == nil || q > m.High {
+		return 0, false
+	}
+	for _, a := range m.Recent {
+		if a.Seq == q {
+			return Again, true
+		}
+	}
+	return Refused, true
+}
+
 func (s *State) topic(n unit.Topic) *Topic {
 	t := s.topics[n]
 	if t == nil {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -25,6 +25,7 @@
 	KindCount    lane.Kind = 29
 	KindCounted  lane.Kind = 30
 	KindBye      lane.Kind = 31
+	KindKnown    lane.Kind = 32 // outcomes, off the flow
 )
 
 // Follow asks a replica for its decided order; Followed answers.
@@ -72,6 +73,7 @@
 	_     struct{} `cbor:",toarray"`
 	Group unit.Group
 	Reqs  []accord.Request
+	Again bool // forwarded before
 }
 
 // Deny tells that requests were not taken, now or ever by this forward.
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -66,6 +66,7 @@
 	perConn   int // of one client
 	silence   unit.Millis
 	resend    unit.Millis
+	nudge     unit.Millis // a call without an outcome goes again on the second path
 	quiet     unit.Millis // silence of the replica followed
 	margin    unit.Millis // before a route's time-out a doubtful publish is given up
 	joinWait  unit.Millis
@@ -110,6 +111,7 @@
 	sent   unit.Millis
 	tries  int
 	queued bool
+	nudged bool // forwarded once more on the second path
 }
 
 // Start serves clients at the front address.
@@ -121,6 +123,7 @@
 		conns: set.Int("edge_conns", max(64, (set.FDs-200)/2)), out: set.Int("client_out_kb", 512) << 10,
 		calls: set.Int("edge_calls", 20000), perConn: set.Int("client_calls", 256),
 		silence: unit.Millis(set.PingS * 3200), resend: unit.Millis(set.Int("forward_again_ms", 400)),
+		nudge: unit.Millis(set.Int("forward_spare_ms", 60)),
 		quiet: unit.Millis(set.Int("replica_quiet_ms", 1000)), margin: unit.Millis(set.Int("give_up_margin_ms", 200)),
 		joinWait: unit.Millis(set.Int("join_wait_ms", 900)),
 	}
@@ -308,6 +311,20 @@
 
 // forward sends what is queued to the leaders, in the order it came.
 func (d *Daemon) forward(now unit.Millis) {
+	spare := map[unit.Group]*trace.Propose{}
+	for _, x := range d.calls {
+		if lead := d.leads[x.group]; x.tries > 0 && !x.nudged && !x.queued && now-x.sent >= d.b.nudge && lead.Node != "" {
+			x.nudged = true
+			if spare[x.group] == nil {
+				spare[x.group] = &trace.Propose{Group: x.group, Again: true}
+			}
+			spare[x.group].Reqs = append(spare[x.group].Reqs, x.req)
+		}
+	}
+	for g, p := range spare {
+		sort.Slice(p.Reqs, func(i, j int) bool { return d.calls[p.Reqs[i].ID].order < d.calls[p.Reqs[j].ID].order })
+		d.hub.Spare(d.leads[g].Node).Send(trace.KindPropose, p)
+	}
 	for g, q := range d.outq {
 		lead, ok := d.leads[g]
 		if !ok || len(q) == 0 {
@@ -322,6 +339,7 @@
 			}
 			x.sent = now
 			x.tries++
+			p.Again = p.Again || x.tries > 1
 			p.Reqs = append(p.Reqs, x.req)
 		}
 		d.outq[g] = q[:0]
@@ -613,6 +631,12 @@
 					q.c.put([]byte("TALLY " + string(q.topic) + " " + strconv.Itoa(x.N) + "\r\n"))
 				}
 			}
+		case trace.KindKnown:
+			if x, ok := lane.Get[trace.Flow](b); ok {
+				for _, o := range x.Outcomes {
+					d.outcome(o)
+				}
+			}
 		case trace.KindDeny:
 			if x, ok := lane.Get[trace.Deny](b); ok {
 				d.denied(x)
@@ -865,7 +889,7 @@
 	}
 	d.forward(now)
 	if len(d.calls) > 0 || len(d.reqs) > 0 {
-		wait = min(wait, 50)
+		wait = min(wait, 30)
 	}
 	if now >= d.sweepAt {
 		d.sweepAt = now + 300
