Tests: configurations in simulated runs, retirement and clients through troubles

On loopback a storage machine is emptied while clients publish, then lost with one more; clients follow through stores, edges and a control process that stop and start, and see each acknowledged message once and in order.

--- a/cmd/norm/main.go
+++ b/cmd/norm/main.go
@@ -40,12 +40,14 @@
 				return err
 			}
 			b := will.Bounds{Body: int64(set.Int("config_kb", 1024)) << 10, Wait: time.Duration(set.Int("control_wait_ms", 800)) * time.Millisecond}
-			if err := will.Serve(set.Control, d, b); err != nil {
+			shut, err := will.Serve(set.Control, d, b)
+			if err != nil {
 				return err
 			}
 			ground.Wait(context.Background(), func() { ground.Reread(path) })
 			unit.Log("stopping", "node", set.Name)
 			d.Stop()
+			shut()
 			return nil
 		}}
 	c.Flags().StringVar(&path, "settings", os.Getenv(ground.EnvSettings), "settings file (default: $"+ground.EnvSettings+")")
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -46,7 +46,13 @@
 }
 
 // Readiness answers the platform's probe.
-type Readiness struct{ on atomic.Bool }
+type Readiness struct {
+	on  atomic.Bool
+	srv *http.Server
+}
+
+// Close ends the answering.
+func (r *Readiness) Close() { r.srv.Close() }
 
 // Set changes the answer.
 func (r *Readiness) Set(on bool) { r.on.Store(on) }
@@ -68,8 +74,8 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, MaxHeaderBytes: 8 << 10}
-	go srv.Serve(ln)
+	r.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, MaxHeaderBytes: 8 << 10}
+	go r.srv.Serve(ln)
 	return nil
 }
 
--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -10,6 +10,7 @@
 	"os"
 	"reflect"
 	"runtime/debug"
+	"runtime/metrics"
 	"strconv"
 	"strings"
 
@@ -193,6 +194,13 @@
 	return def
 }
 
+// Heap is the memory that live objects take, and garbage not yet collected.
+func Heap() int64 {
+	s := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(s)
+	return int64(s[0].Value.Uint64())
+}
+
 // Fit bounds the process's memory to what the settings allow.
 func (s *Settings) Fit() {
 	if s.MemoryMB > 0 {
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -107,7 +107,7 @@
 	d.self = rule.Node{Name: set.Name, Duty: rule.Store, Zone: set.Zone, Addr: addr, Disk: disk, Life: unit.Life(rand.Uint64() >> 1)}
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
 	d.ch = &choir.Choir{Actor: d.actor, Hub: d.hub, Vault: d.vault, Kind: trace.KindGroup, SnapKind: trace.KindSnap,
-		SnapAt: set.Int("snapshot_kb", 16<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
+		SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
 	d.hub.Far = d.norm.Far
 	var shards []rule.Shard
@@ -425,23 +425,26 @@
 	return min(wait, (d.pulseAt - now).Span(), (d.dutyAt - now).Span(), (d.kin.Step(now) - now).Span())
 }
 
-// room watches the disk: past 85% nothing new is taken, until snapshots and
-// compaction bring it below 75%.
+// room watches disk and memory. Past 85% of the disk nothing new is taken until
+// snapshots and compaction bring it below 75%; past 45% of the memory (live
+// objects; the collector needs the rest) until history ages out to 40%.
 func (d *Daemon) room() {
-	limit := int64(d.set.DiskMB) << 20
-	if limit == 0 {
-		return
-	}
-	used := vault.Size(d.set.DataDir)
-	if was := d.full; used*100 > limit*85 || was && used*100 > limit*75 {
-		d.full = true
+	disk := tight(vault.Size(d.set.DataDir), int64(d.set.DiskMB)<<20, 85, 75, d.full)
+	if disk {
 		d.ch.Squeeze()
-	} else {
-		d.full = false
+		unit.Log("disk-near-full", "limit_mb", d.set.DiskMB)
 	}
-	if d.full {
-		unit.Log("disk-near-full", "used_mb", used>>20, "limit_mb", d.set.DiskMB)
+	memory := tight(ground.Heap(), int64(d.set.MemoryMB)<<20, 45, 40, d.full)
+	if memory {
+		unit.Log("memory-near-full", "limit_mb", d.set.MemoryMB)
 	}
+	d.full = disk || memory
+}
+
+// tight tells whether a bound is near: above high percent of it, and then until
+// low percent.
+func tight(used, limit int64, high, low int64, was bool) bool {
+	return limit > 0 && (used*100 > limit*high || was && used*100 > limit*low)
 }
 
 // duties are done by each group's leader, under its epoch.
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -10,10 +10,12 @@
 	"fmt"
 	"math/rand"
 	"sort"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/edict"
 	"oxbowdeck/internal/tale"
 	"oxbowdeck/internal/unit"
 )
@@ -83,6 +85,7 @@
 	slot  unit.Slot
 	eras  []accord.Era
 	state []byte
+	norm  []byte
 	clock unit.Millis
 }
 
@@ -105,16 +108,18 @@
 
 // node is one replica.
 type node struct {
-	member accord.Member
-	core   *accord.Core
-	state  *tale.State
-	disk   *disk
-	up     bool
-	life   int
-	cut    bool
-	slow   unit.Millis
-	bytes  int
-	skew   unit.Millis // its steady clock began at another moment
+	member  accord.Member
+	core    *accord.Core
+	state   *tale.State
+	norm    *edict.State // the control plane's state, run over the same log
+	disk    *disk
+	up      bool
+	life    int
+	cut     bool
+	slow    unit.Millis
+	bytes   int
+	release int64       // the highest configuration seen in this life
+	skew    unit.Millis // its steady clock began at another moment
 }
 
 // World is a run.
@@ -140,8 +145,12 @@
 	steps   int
 	err     error
 
-	Decided, Acked, Refused, Elections int
-	leadSeen                           map[unit.Ballot]bool
+	puts   map[accord.ID]put
+	onTop  map[int64]int64
+	putSeq uint64
+
+	Decided, Acked, Refused, Elections, Configs int
+	leadSeen                                    map[unit.Ballot]bool
 }
 
 type key struct {
@@ -159,7 +168,7 @@
 func New(p Plan) *World {
 	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed)), chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{},
 		acked: map[key]unit.Pos{}, refused: map[key]bool{}, sent: map[key]unit.Topic{}, open: map[key]*call{},
-		seqs: map[unit.Client]unit.Seq{}, leadSeen: map[unit.Ballot]bool{}}
+		seqs: map[unit.Client]unit.Seq{}, leadSeen: map[unit.Ballot]bool{}, puts: map[accord.ID]put{}, onTop: map[int64]int64{}}
 	for i := 0; i < p.Voters+p.Learners; i++ {
 		w.nextNum++
 		m := accord.Member{Num: w.nextNum, Node: unit.Node(fmt.Sprintf("n%d", i))}
@@ -198,10 +207,11 @@
 	n.up = true
 	n.life++
 	n.state = tale.New(w.plan.Bounds)
+	n.norm, n.release = &edict.State{}, 0
 	boot := accord.Boot{Promised: n.disk.head.Promised, Commit: n.disk.head.Commit}
 	boot.Eras = []accord.Era{{From: 0, Seats: w.seats}}
 	if s := n.disk.snap; s != nil {
-		if err := n.state.Load(s.state); err != nil {
+		if err := n.load(s); err != nil {
 			w.fail("load: %v", err)
 		}
 		boot.Base, boot.Eras, boot.Clock = s.slot, s.eras, s.clock
@@ -274,13 +284,7 @@
 	}
 	if n.bytes > w.plan.SnapAt && w.plan.SnapAt > 0 {
 		n.bytes = 0
-		b, err := n.state.Save()
-		if err != nil {
-			w.fail("save: %v", err)
-			return
-		}
-		s := &snap{slot: n.core.Commit(), eras: append([]accord.Era(nil), n.core.Eras()...), state: b, clock: n.state.Clock()}
-		w.store(n, write{snap: s})
+		w.store(n, write{snap: w.image(n)})
 	}
 }
 
@@ -360,19 +364,33 @@
 	}
 }
 
-func (w *World) sendSnap(n *node, a unit.Node) {
-	to := w.find(a)
-	b, err := n.state.Save()
-	if err != nil {
-		w.fail("save: %v", err)
-		return
+// image is a node's whole state, as a snapshot.
+func (w *World) image(n *node) *snap {
+	s := &snap{slot: n.core.Commit(), eras: append([]accord.Era(nil), n.core.Eras()...), clock: n.state.Clock()}
+	var err, err2 error
+	s.state, err = n.state.Save()
+	s.norm, err2 = cbor.Marshal(n.norm)
+	if err != nil || err2 != nil {
+		w.fail("save: %v %v", err, err2)
 	}
-	s := &snap{slot: n.core.Commit(), eras: append([]accord.Era(nil), n.core.Eras()...), state: b, clock: n.state.Clock()}
+	return s
+}
+
+func (n *node) load(s *snap) error {
+	n.norm = &edict.State{}
+	if err := cbor.Unmarshal(s.norm, n.norm); err != nil {
+		return err
+	}
+	return n.state.Load(s.state)
+}
+
+func (w *World) sendSnap(n *node, a unit.Node) {
+	to, s := w.find(a), w.image(n)
 	w.after(w.delay(n), func() {
 		if n.cut || to.cut || !to.up || s.slot <= to.core.Commit() {
 			return
 		}
-		if err := to.state.Load(s.state); err != nil {
+		if err := to.load(s); err != nil {
 			w.fail("load: %v", err)
 			return
 		}
@@ -417,9 +435,17 @@
 	if d.Slot != n.state.Slot()+1 {
 		w.fail("node %s applies %d after %d", n.member.Node, d.Slot, n.state.Slot())
 	}
+	w.control(n, d)
 	var last accord.ID
 	first := true
-	n.state.Apply(d, func(e tale.Event) {
+	t := d
+	t.Value.Reqs = nil
+	for _, r := range d.Value.Reqs {
+		if !strings.HasPrefix(r.ID.Origin, operator) {
+			t.Value.Reqs = append(t.Value.Reqs, r)
+		}
+	}
+	n.state.Apply(t, func(e tale.Event) {
 		if !first && (e.ID.Origin < last.Origin || e.ID.Origin == last.Origin && e.ID.Seq <= last.Seq) {
 			w.fail("order in instance %d: %v after %v", d.Slot, e.ID, last)
 		}
@@ -472,6 +498,88 @@
 	}
 }
 
+// control runs an instance's operator commands, and checks what comes into
+// force: one version on top of each, none that was refused, never an older one.
+func (w *World) control(n *node, d accord.Decided) {
+	v := accord.Value{}
+	for _, r := range d.Value.Reqs {
+		if strings.HasPrefix(r.ID.Origin, operator) {
+			v.Reqs = append(v.Reqs, r)
+		}
+	}
+	n.norm.Apply(accord.Decided{Slot: d.Slot, Value: v}, func(id accord.ID, r edict.Result) {
+		p := w.puts[id]
+		if p.res != 0 && p.res != r {
+			w.fail("configuration %d was answered %d, now %d", p.release, p.res, r)
+		}
+		if p.res == 0 && r == edict.Done {
+			if o, ok := w.onTop[p.match]; ok && o != p.release {
+				w.fail("configurations %d and %d both taken on top of %d", o, p.release, p.match)
+			}
+			w.onTop[p.match] = p.release
+			w.Configs++
+		}
+		p.res = r
+		w.puts[id] = p
+	})
+	if n.norm.Release < n.release {
+		w.fail("node %s goes back from configuration %d to %d", n.member.Node, n.release, n.norm.Release)
+	}
+	if n.norm.Release != n.release {
+		n.release = n.norm.Release
+		for _, p := range w.puts {
+			if p.release == n.release && p.res == edict.Done {
+				return
+			}
+		}
+		w.fail("configuration %d is in force on %s, and was never taken", n.release, n.member.Node)
+	}
+}
+
+const operator = "operator/"
+
+type put struct {
+	match, release int64
+	res            edict.Result
+}
+
+// configure is two operators on top of what some node holds: one may win.
+func (w *World) configure() {
+	n := w.nodes[w.rng.Intn(len(w.nodes))]
+	for i := 0; i < 1+w.rng.Intn(2); i++ {
+		w.putSeq++
+		p := put{match: n.norm.Release, release: n.norm.Release + int64(w.rng.Intn(4))}
+		id := accord.ID{Origin: operator + "x", Seq: w.putSeq}
+		w.puts[id] = p
+		data, err := cbor.Marshal(edict.Command{Verb: edict.Put, Match: p.match, Release: p.release, Body: []byte(fmt.Sprint("config ", w.putSeq))})
+		if err != nil {
+			w.fail("encode: %v", err)
+		}
+		var try func()
+		try = func() { // without an answer it is sent again unchanged
+			if w.puts[id].res == 0 {
+				w.submit(accord.Request{ID: id, Data: data})
+				w.after(200+unit.Millis(w.rng.Intn(200)), try)
+			}
+		}
+		try()
+	}
+}
+
+// submit offers a request to whoever leads.
+func (w *World) submit(req accord.Request) {
+	for _, n := range w.nodes {
+		if n.up && n.core.Role() == accord.Leader && !n.cut {
+			w.after(w.delay(n), func() {
+				if n.up && n.core.Role() == accord.Leader {
+					n.core.Submit(w.clock(n), req)
+					w.flush(n)
+				}
+			})
+		}
+	}
+}
+
 // publish is a client's call, and its repeats until it is answered.
 func (w *World) publish() {
 	c := unit.Client(fmt.Sprintf("c%d", w.rng.Intn(6)))
@@ -496,16 +604,7 @@
 		w.fail("encode: %v", err)
 	}
 	req := accord.Request{ID: accord.ID{Origin: string(k.client), Seq: uint64(k.seq)}, Data: data}
-	for _, n := range w.nodes {
-		if n.up && n.core.Role() == accord.Leader && !n.cut {
-			w.after(w.delay(n), func() {
-				if n.up && n.core.Role() == accord.Leader {
-					n.core.Submit(w.clock(n), req)
-					w.flush(n)
-				}
-			})
-		}
-	}
+	w.submit(req)
 	w.after(100+unit.Millis(w.rng.Intn(200)), func() { w.try(k, x) })
 }
 
@@ -662,6 +761,9 @@
 	calls = func() {
 		if !w.healed {
 			w.publish()
+			if w.rng.Intn(20) == 0 {
+				w.configure()
+			}
 			w.after(unit.Millis(w.rng.Int63n(int64(2*w.plan.Rate))), calls)
 		}
 	}
@@ -700,6 +802,15 @@
 		if n.core.Role() == accord.Leader && !same(n.core.Seats(), w.want) {
 			w.fail("membership %v, wanted %v", n.core.Seats(), w.want)
 		}
+		newest := int64(0)
+		for _, p := range w.puts {
+			if p.res == edict.Done {
+				newest = max(newest, p.release)
+			}
+		}
+		if n.norm.Release != newest {
+			w.fail("node %s reads configuration %d, the newest taken is %d", n.member.Node, n.norm.Release, newest)
+		}
 		held := map[key]bool{}
 		for t := 0; t < 4; t++ {
 			topic := unit.Topic(fmt.Sprintf("t%d", t))
--- a/internal/maze/maze_test.go
+++ b/internal/maze/maze_test.go
@@ -44,7 +44,7 @@
 			if err := w.Run(); err != nil {
 				t.Fatalf("%v\nagain: MAZE_SEED=%d go test ./internal/maze -run '%s' -v", err, s, t.Name())
 			}
-			if w.Acked < 100 || w.Elections < 1 {
+			if w.Acked < 100 || w.Elections < 1 || w.Configs < 1 {
 				t.Fatalf("seed %d: nothing happened: %d accepted, %d elections", s, w.Acked, w.Elections)
 			}
 		})
--- a/internal/plot/whole_test.go
+++ b/internal/plot/whole_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,55 +87,100 @@
 	t.Fatalf("not in time: %s", what)
 }
 
-// TestWhole runs every program of a deployment on this machine's loopback, over
-// real sockets and files, through the life an operator and clients give it.
-func TestWhole(t *testing.T) {
-	all, err := Write(Plan{Dir: t.TempDir(), Zones: 3, Edges: 1, Base: 21700, Net: 77, Extra: []string{"tuning.shards=2"}})
+// world is a deployment whose processes run inside the test.
+type world struct {
+	t     *testing.T
+	by    map[string]Process
+	stops map[string]func()
+}
+
+func begin(t *testing.T, all []Process) *world {
+	w := &world{t: t, by: map[string]Process{}, stops: map[string]func(){}}
+	for _, x := range all {
+		w.by[x.Name] = x
+		w.start(x)
+	}
+	return w
+}
+
+func (w *world) start(x Process) {
+	w.t.Helper()
+	set, err := ground.Read(x.Settings)
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	stops := map[string]func(){}
-	start := func(x Process) {
-		set, err := ground.Read(x.Settings)
+	switch x.Role {
+	case "serve":
+		d, err := edict.Start(set)
 		if err != nil {
-			t.Fatal(err)
+			w.t.Fatal(err)
 		}
-		switch x.Role {
-		case "serve":
-			d, err := edict.Start(set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := will.Serve(set.Control, d, will.Bounds{Body: 1 << 20, Wait: 800 * time.Millisecond}); err != nil {
-				t.Fatal(err)
-			}
-			stops[x.Name] = d.Stop
-		case "store":
-			d, err := hold.Start(set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			stops[x.Name] = d.Stop
-		default:
-			d, err := voice.Start(set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			stops[x.Name] = d.Stop
+		shut, err := will.Serve(set.Control, d, will.Bounds{Body: 1 << 20, Wait: 800 * time.Millisecond})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.stops[x.Name] = func() { d.Stop(); shut() }
+	case "store":
+		d, err := hold.Start(set)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.stops[x.Name] = d.Stop
+	default:
+		d, err := voice.Start(set)
+		if err != nil {
+			w.t.Fatal(err)
 		}
+		w.stops[x.Name] = d.Stop
 	}
-	by := map[string]Process{}
-	for _, x := range all {
-		by[x.Name] = x
-		start(x)
+}
+
+// stop ends one process in order.
+func (w *world) stop(name string) {
+	f := w.stops[name]
+	delete(w.stops, name)
+	f()
+}
+
+func (w *world) end() {
+	for n := range w.stops {
+		w.stop(n)
 	}
-	defer func() {
-		for _, f := range stops {
-			f()
+}
+
+func (w *world) configure(url string) {
+	w.t.Helper()
+	until(w.t, "first configuration", func() bool { c, _ := call(w.t, "PUT", url, "0", fmt.Sprintf(config, 3, "")); return c == 200 })
+}
+
+func (w *world) ready() {
+	w.t.Helper()
+	for n, x := range w.by {
+		if x.Front == "" {
+			continue
 		}
-	}()
+		until(w.t, n+" ready", func() bool {
+			host, port, _ := net.SplitHostPort(x.Front)
+			p, _ := strconv.Atoi(port)
+			c, _ := call(w.t, "GET", fmt.Sprintf("http://%s:%d/v1/readiness", host, p+1), "", "")
+			return c == 200
+		})
+	}
+}
+
+// TestWhole runs every program of a deployment on this machine's loopback, over
+// real sockets and files, through the life an operator and clients give it.
+func TestWhole(t *testing.T) {
+	t.Parallel()
+	all, err := Write(Plan{Dir: t.TempDir(), Zones: 3, Edges: 1, Base: 21700, Net: 77, Extra: []string{"tuning.shards=2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := begin(t, all)
+	defer w.end()
+	start, stops, by := w.start, w.stops, w.by
 	url := "http://" + by["core-zone-2"].Control + "/v1/configuration"
-	until(t, "first configuration", func() bool { c, _ := call(t, "PUT", url, "0", fmt.Sprintf(config, 3, "")); return c == 200 })
+	w.configure(url)
 	for _, c := range []struct {
 		match, body string
 		want        int
@@ -146,12 +193,7 @@
 			t.Errorf("PUT on %q: %d %s, want %d", c.match, got, why, c.want)
 		}
 	}
-	for _, n := range []string{"edge-zone-1-1", "edge-zone-2-1", "edge-zone-3-1"} {
-		until(t, n+" ready", func() bool {
-			c, _ := call(t, "GET", "http://"+strings.Replace(by[n].Front, ":21701", ":21702", 1)+"/v1/readiness", "", "")
-			return c == 200
-		})
-	}
+	w.ready()
 	body := strings.Repeat("b", 20)
 	a, b := dial(t, by["edge-zone-1-1"].Front, "ann"), dial(t, by["edge-zone-2-1"].Front, "bob")
 	a.say("SUBSCRIBE a.x")
@@ -203,8 +245,7 @@
 	c.want("SUCCESS UNSUB a.x")
 
 	// a store leaves and comes back; its zone's edge and the leaders it had move on
-	stops["store-zone-1"]()
-	delete(stops, "store-zone-1")
+	w.stop("store-zone-1")
 	b.say("PUBLISH a.x 9 20", body)
 	b.want("ACK a.x 9")
 	if f := a.want("DELIVER a.x "); f[4] != "9" {
@@ -246,10 +287,7 @@
 	}
 
 	// stopped in order, the stores' disks hold the same decided log
-	for n, f := range stops {
-		f()
-		delete(stops, n)
-	}
+	w.end()
 	var groups []lore.Group
 	for n, x := range by {
 		if x.Role != "store" {
@@ -265,3 +303,225 @@
 		t.Fatal(f)
 	}
 }
+
+// TestRetire empties a storage machine of a running deployment: its votes go to
+// the store that only followed, and nothing acknowledged is lost.
+func TestRetire(t *testing.T) {
+	t.Parallel()
+	all, err := Write(Plan{Dir: t.TempDir(), Zones: 4, Edges: 1, Base: 21740, Net: 78, Extra: []string{"fault_tolerance.machines=1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := begin(t, all)
+	defer w.end()
+	url := "http://" + w.by["core-zone-1"].Control
+	w.configure(url + "/v1/configuration")
+	w.ready()
+	body := strings.Repeat("b", 20)
+	a := dial(t, w.by["edge-zone-2-1"].Front, "ann")
+	a.say("SUBSCRIBE a.x")
+	from := a.want("SUCCESS SUBSCRIBE a.x")[3]
+	publish := func(seq int) {
+		a.say(fmt.Sprintf("PUBLISH a.x %d 20", seq), body)
+		for got := 0; got < 2; got++ { // the answer and the message, in either order
+			if f := a.want(""); f[0] == "DELIVER" {
+				a.want(body)
+			} else if f[0] != "ACK" {
+				t.Fatalf("got %v", f)
+			}
+		}
+	}
+	publish(1)
+	if c, _ := call(t, "POST", url+"/v1/retire/nobody", "", `{"ramp_s":1}`); c != 404 {
+		t.Fatalf("unknown machine: %d", c)
+	}
+	if c, _ := call(t, "POST", url+"/v1/retire/store-zone-1", "", `{"ramp_s":1}`); c != 200 {
+		t.Fatalf("retire: %d", c)
+	}
+	if c, _ := call(t, "POST", url+"/v1/retire/store-zone-2", "", `{"ramp_s":1}`); c != 409 {
+		t.Fatalf("too few would be left: %d", c)
+	}
+	until(t, "emptied", func() bool {
+		c, text := call(t, "GET", url+"/v1/retire/store-zone-1", "", "")
+		if c != 200 {
+			t.Fatalf("%d %s", c, text)
+		}
+		return strings.Contains(text, "completed")
+	})
+	publish(2)
+	w.stop("store-zone-1") // and its disk is gone
+	w.stop("store-zone-2") // one more may be lost
+	publish(3)
+	b := dial(t, w.by["edge-zone-1-1"].Front, "bob")
+	b.say("SUBSCRIBE a.x " + from)
+	b.want("SUCCESS SUBSCRIBE a.x " + from)
+	for _, seq := range []string{"1", "2", "3"} {
+		if f := b.want("DELIVER a.x "); f[4] != seq {
+			t.Fatalf("got %v, want %s", f, seq)
+		}
+		b.want(body)
+	}
+}
+
+// TestClientsThroughTroubles: clients publish and follow through edges while
+// stores and edges stop and start in turn. Each client must see every
+// acknowledged message once, and each sender's in order, over all its lives.
+func TestClientsThroughTroubles(t *testing.T) {
+	t.Parallel()
+	all, err := Write(Plan{Dir: t.TempDir(), Zones: 3, Edges: 1, Base: 21780, Net: 79})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := begin(t, all)
+	defer w.end()
+	w.configure("http://" + w.by["core-zone-1"].Control + "/v1/configuration")
+	w.ready()
+	var fronts []string
+	for z := 1; z <= 3; z++ {
+		fronts = append(fronts, w.by[fmt.Sprintf("edge-zone-%d-1", z)].Front)
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	users := make([]*user, 6)
+	for i := range users {
+		u := &user{name: fmt.Sprintf("u%d", i), fronts: fronts, at: i, acked: map[string]bool{}, seen: map[string]bool{}, high: map[string]int{}}
+		users[i] = u
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			u.live(stop)
+		}()
+	}
+	for _, n := range []string{"store-zone-1", "edge-zone-2-1", "store-zone-2", "core-zone-1", "store-zone-3"} {
+		time.Sleep(400 * time.Millisecond)
+		w.stop(n)
+		time.Sleep(200 * time.Millisecond)
+		w.start(w.by[n])
+		time.Sleep(600 * time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	acked := map[string]bool{}
+	for _, u := range users {
+		if u.fault != "" {
+			t.Errorf("%s: %s", u.name, u.fault)
+		}
+		for k := range u.acked {
+			acked[k] = true
+		}
+	}
+	if len(acked) < 100 {
+		t.Fatalf("only %d messages were acknowledged", len(acked))
+	}
+	for _, u := range users {
+		// what a client lacks at the end, its place still brings
+		u.rest(acked)
+		for k := range acked {
+			if !u.seen[k] {
+				t.Errorf("%s never got %s", u.name, k)
+			}
+		}
+		if u.fault != "" {
+			t.Errorf("%s: %s", u.name, u.fault)
+		}
+	}
+}
+
+type user struct {
+	name   string
+	fronts []string
+	at     int
+	place  string
+	seq    int
+	acked  map[string]bool
+	seen   map[string]bool
+	high   map[string]int
+	fault  string
+}
+
+// session is one connection: it ends on any trouble, and another follows.
+func (u *user) session(until func() bool, publish bool) {
+	u.at++
+	c, err := net.DialTimeout("tcp", u.fronts[u.at%len(u.fronts)], 300*time.Millisecond)
+	if err != nil {
+		time.Sleep(50 * time.Millisecond)
+		return
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	fmt.Fprintf(c, "ATTACH %s\r\n%s\r\n", u.name, strings.TrimSpace("SUBSCRIBE a.x "+u.place))
+	waiting, subscribed := 0, false
+	for !until() {
+		if publish && subscribed && waiting == 0 {
+			u.seq++
+			waiting = u.seq
+			fmt.Fprintf(c, "PUBLISH a.x %d 20\r\n%s\r\n", u.seq, strings.Repeat("b", 20))
+		}
+		c.SetReadDeadline(time.Now().Add(1500 * time.Millisecond))
+		l, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		f := strings.Fields(l)
+		switch {
+		case f[0] == "SUCCESS" && f[1] == "SUBSCRIBE":
+			subscribed = true
+			if u.place == "" {
+				u.place = f[3]
+			}
+		case f[0] == "ACK":
+			u.acked[u.name+"/"+f[2]] = true
+			waiting = 0
+		case f[0] == "REJECT" && f[1] == "PUBLISH":
+			waiting = 0
+			u.seq += 10
+		case f[0] == "REJECT", f[0] == "REDIRECT":
+			return
+		case f[0] == "DELIVER":
+			if _, err := r.ReadString('\n'); err != nil {
+				return
+			}
+			k, n := f[3]+"/"+f[4], 0
+			fmt.Sscan(f[4], &n)
+			if u.seen[k] {
+				u.fault = k + " came twice"
+			}
+			if n <= u.high[f[3]] {
+				u.fault = k + " came after a later one"
+			}
+			u.seen[k], u.high[f[3]], u.place = true, n, f[2]
+		}
+	}
+}
+
+func (u *user) live(stop chan struct{}) {
+	over := func() bool {
+		select {
+		case <-stop:
+			return true
+		default:
+			return false
+		}
+	}
+	for !over() {
+		u.session(over, true)
+	}
+}
+
+func (u *user) rest(acked map[string]bool) {
+	end := time.Now().Add(8 * time.Second)
+	done := func() bool {
+		if time.Now().After(end) {
+			return true
+		}
+		for k := range acked {
+			if !u.seen[k] {
+				return false
+			}
+		}
+		return true
+	}
+	for !done() {
+		u.session(done, false)
+	}
+}
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -995,6 +995,8 @@
 		}
 	})
 	time.Sleep(60 * time.Millisecond)
+	d.ln.Close()
+	d.ready.Close()
 	d.kin.Close()
 	d.hub.Close(200 * time.Millisecond)
 	d.actor.Stop()
--- a/internal/will/will.go
+++ b/internal/will/will.go
@@ -25,11 +25,11 @@
 	State string `json:"op_state,omitempty"`
 }
 
-// Serve answers the operator at addr.
-func Serve(addr string, d *edict.Daemon, b Bounds) error {
+// Serve answers the operator at addr, until the function it returns is called.
+func Serve(addr string, d *edict.Daemon, b Bounds) (func(), error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return unit.Err("listen control", addr, err)
+		return nil, unit.Err("listen control", addr, err)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/configuration", func(w http.ResponseWriter, r *http.Request) { put(w, r, d, b) })
@@ -83,7 +83,7 @@
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10}
 	go srv.Serve(ln)
-	return nil
+	return func() { srv.Close() }, nil
 }
 
 func say(w http.ResponseWriter, code int, v any) {
