--- /dev/null
+++ b/internal/accord/elect.go
@@ -0,0 +1,220 @@
+package accord
+
+import (
+	"oxbowdeck/internal/unit"
+)
+
+func majority(ms []Member, yes map[unit.Num]bool) bool {
+	n := 0
+	for _, m := range ms {
+		if yes[m.Num] {
+			n++
+		}
+	}
+	return n*2 > len(ms)
+}
+
+// carried tells whether yes holds a majority of every membership that can
+// apply to an undecided instance.
+func (c *Core) carried(yes map[unit.Num]bool) bool {
+	if !majority(c.seatsAt(c.commit+1), yes) {
+		return false
+	}
+	for _, e := range c.eras {
+		if e.From > c.commit+1 && !majority(e.Seats, yes) {
+			return false
+		}
+	}
+	return true
+}
+
+const never = unit.Millis(1) << 60
+
+// askAt is when a replica that hears no leader next tries to become it.
+func (c *Core) askAt() unit.Millis {
+	if c.draining || !c.voter() {
+		return never
+	}
+	pause := c.conf.Impatience
+	if c.role == Candidate {
+		pause = c.conf.Patience // promises wait for disks: give them time
+	}
+	return max(c.doubtAt(), c.askedAt+pause)
+}
+
+// doubtAt is when this replica gives the leader up: the earlier in the agreed
+// order, the sooner, so the first live one takes the duty.
+func (c *Core) doubtAt() unit.Millis {
+	rank := 0
+	for _, m := range c.Seats() {
+		if m.Num == c.conf.Self.Num {
+			break
+		}
+		if m.Num != c.leader.Num() {
+			rank++
+		}
+	}
+	return c.heardAt + c.conf.Patience + unit.Millis(rank)*c.conf.Stagger
+}
+
+// Down tells that the connection to a peer broke: the leader has only a little
+// patience left to be heard again.
+func (c *Core) Down(now unit.Millis, node unit.Node) {
+	if c.role != Leader && node == c.leadNode {
+		if h := now - c.conf.Patience + c.conf.Impatience; h < c.heardAt {
+			c.heardAt = h
+		}
+	}
+}
+
+func (c *Core) canvass(now unit.Millis) {
+	c.role = Canvasser
+	c.askedAt = now
+	c.voices = map[unit.Num]bool{c.conf.Self.Num: true}
+	for _, m := range c.peers(true, false) {
+		c.send(m.Node, Msg{Kind: Canvass, Ballot: c.promised, Commit: c.commit})
+	}
+	if c.carried(c.voices) {
+		c.campaign(now)
+	}
+}
+
+func (c *Core) campaign(now unit.Millis) {
+	c.role = Candidate
+	c.askedAt = now
+	c.voices = map[unit.Num]bool{}
+	c.offered = nil
+	c.last = c.commit
+	c.promised = unit.MakeBallot(c.promised.Round()+1, c.conf.Self.Num)
+	var ms []Envelope
+	for _, m := range c.peers(true, false) {
+		ms = append(ms, c.envelope(m.Node, Msg{Kind: Prepare, Ballot: c.promised, Slot: c.commit + 1}))
+	}
+	c.save(Record{}, wait{msgs: ms, bal: c.promised, vow: true})
+}
+
+func (c *Core) stepDown(now unit.Millis) {
+	if c.role == Leader {
+		c.open, c.openSize, c.backlog, c.backSize, c.repeats = nil, 0, nil, 0, nil
+		c.taken = nil
+		for _, e := range c.log {
+			e.pending = false
+		}
+		c.leadNode = ""
+	}
+	if c.role != Follower {
+		c.heardAt = now
+	}
+	c.role = Follower
+	c.yielding = false
+	c.voices, c.offered = nil, nil
+}
+
+func (c *Core) prepare(now unit.Millis, from unit.Node, m Msg) {
+	if m.Ballot <= c.promised {
+		c.send(from, Msg{Kind: Nack, Ballot: c.promised, Commit: c.commit})
+		return
+	}
+	c.promised = m.Ballot
+	c.stepDown(now)
+	c.heardAt = now
+	if m.Slot <= c.base {
+		// the candidate lacks what this replica no longer has in its log
+		c.eff.Snaps = append(c.eff.Snaps, from)
+		c.save(Record{}, wait{})
+		return
+	}
+	r := Msg{Kind: Promise, Ballot: m.Ballot, Commit: c.commit, Entries: c.tail(m.Slot)}
+	c.save(Record{}, wait{msgs: []Envelope{c.envelope(from, r)}})
+}
+
+func (c *Core) promise(now unit.Millis, m Msg) {
+	if c.role != Candidate || m.Ballot != c.promised {
+		return
+	}
+	for _, e := range m.Entries {
+		if e.Decided && e.Slot > c.commit {
+			s := c.log[e.Slot]
+			if s == nil || !s.chosen {
+				c.log[e.Slot] = &slot{bal: m.Ballot, val: e.Val, chosen: true}
+				c.saveEntry(e.Slot, wait{})
+			}
+		}
+	}
+	c.advance(now)
+	c.offered = append(c.offered, m.Entries...)
+	c.voices[m.From] = true
+	if !c.carried(c.voices) {
+		return
+	}
+	// Phase 1 is over: repeat every undecided instance under the new epoch,
+	// the value of the highest epoch for each, and no-ops where there is none.
+	best := map[unit.Slot]Entry{}
+	top := c.commit
+	for _, e := range append(c.offered, c.tail(c.commit+1)...) {
+		if e.Slot <= c.commit {
+			continue
+		}
+		if b, ok := best[e.Slot]; !ok || e.Decided && !b.Decided || !b.Decided && e.Ballot > b.Ballot {
+			best[e.Slot] = e
+		}
+		if e.Slot > top {
+			top = e.Slot
+		}
+	}
+	c.role = Leader
+	c.ledAt, c.ledClock = now, c.clock
+	c.taken = map[ID]bool{}
+	c.levels = map[unit.Num]unit.Slot{}
+	c.courses = map[unit.Num]*course{}
+	c.seated = c.commit + 1 // what others hold is not known to a new leader
+	c.leader, c.leadNode = c.promised, c.conf.Self.Node
+	c.next = c.commit + 1
+	c.repeats = nil
+	for s := c.commit + 1; s <= top; s++ {
+		c.repeats = append(c.repeats, Entry{Slot: s, Val: best[s].Val})
+	}
+	c.open, c.openSize, c.backlog, c.backSize = nil, 0, nil, 0
+	c.yielding = false
+	c.voices, c.offered = nil, nil
+	c.pump(now)
+	c.beat(now)
+}
+
+// Yield makes a draining leader finish its window and hand the duty over. It
+// takes no new requests from now on.
+func (c *Core) Yield(now unit.Millis) {
+	c.draining = true
+	if c.role != Leader || c.yielding {
+		return
+	}
+	c.shut()
+	c.yielding = true
+	c.pump(now)
+}
+
+func (c *Core) handOver(now unit.Millis) {
+	var heir unit.Node
+	best := unit.Millis(-1)
+	for _, m := range c.Seats() {
+		if m.Num == c.conf.Self.Num {
+			continue
+		}
+		at, ok := c.seen[m.Num]
+		if ok && now-at < 4*c.conf.Patience {
+			heir = m.Node
+			break
+		}
+		if ok && at > best {
+			heir, best = m.Node, at
+		}
+	}
+	c.beat(now)
+	if heir == "" {
+		c.yielding, c.draining = false, false // nobody is there: go on
+		return
+	}
+	b := c.leader
+	c.stepDown(now)
+	c.send(heir, Msg{Kind: Yield, Ballot: b, Commit: c.commit})
+}
--- /dev/null
+++ b/internal/accord/lead.go
@@ -0,0 +1,236 @@
+package accord
+
+import (
+	"oxbowdeck/internal/unit"
+)
+
+// course is what a leader sent to one replica and heard of it.
+type course struct {
+	open []sent
+	took unit.Millis // an answer's usual time, in eighths
+}
+
+type sent struct {
+	slot   unit.Slot
+	at     unit.Millis
+	nudged bool
+}
+
+// patience is how long an answer may take before it is asked for again: more
+// than usual for that replica, so that a slow one is not pressed.
+func (k *course) patience(least unit.Millis) unit.Millis { return max(least, 3*k.took/8) }
+
+// nudge sends what a replica has not answered once more, on the second path. A
+// packet lost on the first holds up everything behind it; the engine needs no
+// order, so what is late need not wait.
+func (c *Core) nudge(now unit.Millis) {
+	for _, m := range c.peers(true, true) {
+		k := c.courses[m.Num]
+		if k == nil {
+			continue
+		}
+		n := 0
+		for _, o := range k.open {
+			if now-o.at > 4*c.conf.Patience {
+				continue // it is gone, or will fetch
+			}
+			if !o.nudged && now-o.at >= k.patience(c.conf.Nudge) {
+				o.nudged = true
+				if e := c.log[o.slot]; e != nil && now-c.seen[m.Num] < 2*c.conf.Patience {
+					c.eff.Sends = append(c.eff.Sends, Envelope{To: m.Node, Spare: true, Msg: Msg{Kind: Accept, Group: c.conf.Group,
+						From: c.conf.Self.Num, Ballot: c.leader, Slot: o.slot, Commit: c.commit, Val: e.val}})
+				}
+			}
+			k.open[n] = o
+			n++
+		}
+		k.open = k.open[:n]
+	}
+}
+
+// answered notes an answer, and how long it took.
+func (c *Core) answered(now unit.Millis, num unit.Num, s unit.Slot) {
+	k := c.courses[num]
+	if k == nil {
+		return
+	}
+	for i, o := range k.open {
+		if o.slot == s {
+			if !o.nudged {
+				k.took += now - o.at - k.took/8
+			}
+			k.open = append(k.open[:i], k.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Core) vote(now unit.Millis, s unit.Slot, n unit.Num) {
+	e := c.log[s]
+	if e == nil || !e.pending || e.chosen {
+		return
+	}
+	e.acks[n] = true
+	if majority(c.seatsAt(s), e.acks) {
+		e.chosen, e.pending = true, false
+		c.advance(now)
+	}
+}
+
+// Submit puts a request into the open batch.
+func (c *Core) Submit(now unit.Millis, r Request) error {
+	if c.role != Leader || c.yielding {
+		return ErrNotLeader
+	}
+	if c.taken[r.ID] {
+		return nil // forwarded again while it waits: once is enough
+	}
+	size := len(r.Data) + len(r.ID.Origin) + 12
+	if c.openSize+c.backSize+size > c.conf.OpenBytes {
+		return ErrFull
+	}
+	if c.openSize > 0 && c.openSize+size > c.conf.Bsz {
+		c.shut()
+	}
+	if len(c.open) == 0 {
+		c.openAt = now // Δ_B runs from the first request of a batch
+		// Decided time is what leaders' steady clocks measured while they led,
+		// one after the other: it can lag true time, never run ahead of it, and no
+		// stepped clock can make history look old.
+		c.openTime = c.ledClock + now - c.ledAt
+	}
+	c.taken[r.ID] = true
+	c.open = append(c.open, r)
+	c.openSize += size
+	if c.openSize >= c.conf.Bsz {
+		c.shut()
+	}
+	c.pump(now)
+	return nil
+}
+
+// Reseat asks for a new membership, effective Wnd instances after its decision.
+func (c *Core) Reseat(now unit.Millis, seats []Member) error {
+	if c.role != Leader || c.yielding {
+		return ErrNotLeader
+	}
+	if len(c.eras) > 1 || c.seatNext != nil {
+		return ErrFull // one change at a time
+	}
+	c.seatNext = seats
+	c.pump(now)
+	return nil
+}
+
+func (c *Core) shut() {
+	if len(c.open) == 0 {
+		return
+	}
+	b := encode(Value{Stamp: c.openTime, Reqs: c.open})
+	c.backlog = append(c.backlog, b)
+	c.backSize += len(b)
+	c.open, c.openSize = nil, 0
+}
+
+// pump proposes closed batches while the window has room.
+func (c *Core) pump(now unit.Millis) {
+	if c.role != Leader {
+		return
+	}
+	for c.next <= c.commit+unit.Slot(c.conf.Wnd) {
+		var v []byte
+		switch {
+		case len(c.repeats) > 0:
+			v = c.repeats[0].Val
+			c.repeats = c.repeats[1:]
+		case c.seatNext != nil:
+			v = encode(Value{Seats: c.seatNext})
+			c.seatNext = nil
+		case len(c.backlog) > 0:
+			v = c.backlog[0]
+			if f := c.flight(); f > 0 && f+len(v) > c.conf.WndBytes {
+				c.tell(now)
+				return
+			}
+			c.backlog = c.backlog[1:]
+			c.backSize -= len(v)
+		case len(c.eras) > 1 && c.next <= c.eras[len(c.eras)-1].From:
+			v = nil // no-ops carry a membership change into force
+		default:
+			if c.yielding && c.commit+1 == c.next && len(c.open) == 0 {
+				c.handOver(now)
+				return
+			}
+			c.tell(now)
+			return
+		}
+		s := c.next
+		c.next++
+		if e := c.log[s]; e != nil && e.chosen {
+			continue
+		}
+		c.log[s] = &slot{bal: c.leader, val: v, pending: true, acks: map[unit.Num]bool{}, sentAt: now}
+		for _, m := range c.peers(true, true) {
+			c.send(m.Node, Msg{Kind: Accept, Ballot: c.leader, Slot: s, Commit: c.commit, Val: v})
+			k := c.courses[m.Num]
+			if k == nil {
+				k = &course{}
+				c.courses[m.Num] = k
+			}
+			if len(k.open) < 8*c.conf.Wnd {
+				k.open = append(k.open, sent{slot: s, at: now})
+			}
+		}
+		c.toldAt, c.beatAt = c.commit, now
+		c.saveEntry(s, wait{self: []unit.Slot{s}, bal: c.leader})
+	}
+	c.tell(now)
+}
+
+// flight is the bytes of this leader's undecided instances.
+func (c *Core) flight() int {
+	n := 0
+	for s := c.commit + 1; s < c.next; s++ {
+		if e := c.log[s]; e != nil && e.pending {
+			n += len(e.val)
+		}
+	}
+	return n
+}
+
+// tell lets the others know of new decisions when no proposal carried them.
+func (c *Core) tell(now unit.Millis) {
+	if c.toldAt < c.commit {
+		c.beat(now)
+	}
+}
+
+func (c *Core) beat(now unit.Millis) {
+	c.beatAt, c.toldAt = now, c.commit
+	for _, m := range c.peers(true, true) {
+		c.send(m.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: !c.Settled()})
+	}
+}
+
+// Pending is how many instances are undecided at this leader, and the closed
+// and open bytes that wait.
+func (c *Core) Pending() (instances, bytes int) {
+	if c.role != Leader {
+		return 0, 0
+	}
+	return int(c.next - 1 - c.commit), c.openSize + c.backSize
+}
+
+// Settled tells a leader that one membership is in force and each of its
+// members holds everything that was decided before it was.
+func (c *Core) Settled() bool {
+	if c.role != Leader || len(c.eras) != 1 || c.seatNext != nil || c.commit < c.seated-1 {
+		return false
+	}
+	for _, m := range c.eras[0].Seats {
+		if m.Num != c.conf.Self.Num && c.levels[m.Num] < c.seated-1 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/accord/learn.go
@@ -0,0 +1,220 @@
+package accord
+
+import (
+	"oxbowdeck/internal/unit"
+)
+
+func (c *Core) held(s unit.Slot) bool { e := c.log[s]; return e != nil && !e.chosen }
+
+// ask is the follower's side: what it accepted should be decided by now.
+func (c *Core) ask(now unit.Millis) {
+	if c.leadNode == "" || !c.held(c.commit+1) || now-c.heardAt > c.conf.Patience {
+		return
+	}
+	if now-max(c.log[c.commit+1].since, c.nudgedAt) >= c.conf.Nudge {
+		c.nudgedAt = now
+		c.eff.Sends = append(c.eff.Sends, Envelope{To: c.leadNode, Spare: true,
+			Msg: Msg{Kind: Level, Group: c.conf.Group, From: c.conf.Self.Num, Ballot: c.leader, Commit: c.commit, Yes: true}})
+	}
+}
+
+// tail is everything this replica holds from s on.
+func (c *Core) tail(s unit.Slot) []Entry {
+	var out []Entry
+	top := c.commit
+	for n := range c.log {
+		if n > top {
+			top = n
+		}
+	}
+	for ; s <= top; s++ {
+		if e := c.log[s]; e != nil {
+			out = append(out, Entry{Slot: s, Ballot: e.bal, Val: e.val, Decided: s <= c.commit || e.chosen})
+		}
+	}
+	return out
+}
+
+func (c *Core) follow(now unit.Millis, from unit.Node, b unit.Ballot) {
+	if c.role != Follower && b != c.leader || c.role == Candidate || c.role == Canvasser {
+		c.stepDown(now)
+	}
+	if b > c.promised {
+		c.promised = b // made durable with the next record; a beat alone binds nothing
+	}
+	c.leader, c.leadNode = b, from
+	c.heardAt = now
+}
+
+func (c *Core) saveEntry(s unit.Slot, w wait) {
+	e := c.log[s]
+	c.save(Record{Entry: &Entry{Slot: s, Ballot: e.bal, Val: e.val}}, w)
+}
+
+func (c *Core) accept(now unit.Millis, from unit.Node, m Msg) {
+	if m.Ballot < c.promised {
+		c.send(from, Msg{Kind: Nack, Ballot: c.promised, Commit: c.commit})
+		return
+	}
+	c.follow(now, from, m.Ballot)
+	yes := c.envelope(from, Msg{Kind: Accepted, Ballot: m.Ballot, Slot: m.Slot})
+	if e := c.log[m.Slot]; m.Slot <= c.commit || e != nil && e.chosen {
+		c.eff.Sends = append(c.eff.Sends, yes)
+	} else if e != nil && e.bal == m.Ballot {
+		// a repeat of what is held already: the answer may still wait for the disk
+		if !c.waiting(m.Slot) {
+			c.eff.Sends = append(c.eff.Sends, yes)
+		}
+	} else {
+		c.log[m.Slot] = &slot{bal: m.Ballot, val: m.Val, since: now}
+		// one without a vote answers too: the leader learns that it got there
+		c.saveEntry(m.Slot, wait{self: []unit.Slot{m.Slot}, bal: m.Ballot, msgs: []Envelope{yes}})
+	}
+	c.learn(now, from, m.Ballot, m.Commit)
+}
+
+func (c *Core) waiting(s unit.Slot) bool {
+	for _, w := range c.waits {
+		for _, n := range w.self {
+			if n == s {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// learn takes the leader's word that everything up to commit is decided. An
+// entry of the leader's own epoch is that decision; anything else is fetched.
+func (c *Core) learn(now unit.Millis, from unit.Node, b unit.Ballot, commit unit.Slot) {
+	c.told = commit
+	missing := unit.Slot(0)
+	for s := c.commit + 1; s <= commit; s++ {
+		e := c.log[s]
+		if e != nil && (e.chosen || e.bal == b) {
+			e.chosen = true
+		} else if missing == 0 {
+			missing = s
+		}
+	}
+	c.advance(now)
+	if missing != 0 && now-c.fetchAt >= c.conf.Beat/2 {
+		c.fetchAt = now
+		c.send(from, Msg{Kind: Fetch, Slot: missing, Commit: c.commit})
+	}
+}
+
+// advance moves the decided prefix on, and hands what it passes to be applied.
+func (c *Core) advance(now unit.Millis) {
+	for {
+		e := c.log[c.commit+1]
+		if e == nil || !e.chosen {
+			return
+		}
+		c.commit++
+		v, err := decode(e.val)
+		if err != nil {
+			// what a majority accepted was encoded by a leader of this group
+			panic(unit.Errf("decode decided value", "", "group %d slot %d: %v", c.conf.Group, c.commit, err))
+		}
+		c.clock = max(c.clock, v.Stamp)
+		if c.role == Leader {
+			for _, r := range v.Reqs {
+				delete(c.taken, r.ID)
+			}
+		}
+		if len(v.Seats) > 0 {
+			c.eras = append(c.eras, Era{From: c.commit + unit.Slot(c.conf.Wnd), Seats: v.Seats})
+		}
+		for len(c.eras) > 1 && c.eras[1].From <= c.commit {
+			c.eras = c.eras[1:]
+			c.seated = c.eras[0].From
+		}
+		c.eff.Decided = append(c.eff.Decided, Decided{c.commit, v, e.val})
+	}
+}
+
+func (c *Core) feed(to unit.Node, from unit.Slot) {
+	if from <= c.base {
+		c.eff.Snaps = append(c.eff.Snaps, to)
+		return
+	}
+	m := Msg{Kind: Feed, Ballot: c.promised, Commit: c.commit}
+	size := 0
+	for s := from; s <= c.commit && size < c.conf.FeedBytes; s++ {
+		e := c.log[s]
+		m.Entries = append(m.Entries, Entry{Slot: s, Ballot: c.promised, Val: e.val, Decided: true})
+		size += len(e.val) + 16
+	}
+	if len(m.Entries) > 0 {
+		c.send(to, m)
+	}
+}
+
+func (c *Core) fed(now unit.Millis, from unit.Node, m Msg) {
+	for _, e := range m.Entries {
+		if e.Slot <= c.commit {
+			continue
+		}
+		if s := c.log[e.Slot]; s != nil && s.chosen {
+			continue
+		}
+		// decided, so no epoch at or above the feeder's can propose otherwise
+		c.log[e.Slot] = &slot{bal: max(m.Ballot, c.entryBal(e.Slot)), val: e.Val, chosen: true}
+		c.saveEntry(e.Slot, wait{})
+	}
+	c.advance(now)
+	if c.commit < m.Commit && len(m.Entries) > 0 {
+		c.fetchAt = now
+		c.send(from, Msg{Kind: Fetch, Slot: c.commit + 1, Commit: c.commit})
+	}
+}
+
+func (c *Core) entryBal(s unit.Slot) unit.Ballot {
+	if e := c.log[s]; e != nil {
+		return e.bal
+	}
+	return 0
+}
+
+// Install replaces the state up to slot with a snapshot's; false if it is old.
+func (c *Core) Install(now unit.Millis, at unit.Slot, eras []Era, clock unit.Millis) bool {
+	if at <= c.commit {
+		return false
+	}
+	c.commit, c.base = at, at
+	c.clock = max(c.clock, clock)
+	c.eras = append([]Era(nil), eras...)
+	for s := range c.log {
+		if s <= at {
+			delete(c.log, s)
+		}
+	}
+	if c.role != Leader {
+		c.stepDown(now)
+	}
+	c.advance(now)
+	return true
+}
+
+// Trim forgets decided instances up to s: a snapshot covers them.
+func (c *Core) Trim(s unit.Slot) {
+	if s > c.commit {
+		s = c.commit
+	}
+	for n := c.base + 1; n <= s; n++ {
+		delete(c.log, n)
+	}
+	if s > c.base {
+		c.base = s
+	}
+}
+
+// Fresh tells whether this replica has all that its leader said is decided, and
+// heard that lately.
+func (c *Core) Fresh(now unit.Millis) bool {
+	if c.role == Leader {
+		return true
+	}
+	return c.leadNode != "" && now-c.heardAt < c.conf.Patience+2*c.conf.Beat && c.commit >= c.told
+}
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -95,12 +95,10 @@
 	}
 	now := unit.Steady()
 	d.enrolAt = now
-	d.kin = ground.Kin(set, d.self, func(n unit.Node, life unit.Life) {
+	d.kin, err = ground.Kin(set, d.self, d.actor.Do, func(n unit.Node, life unit.Life) {
 		d.reported(unit.Steady(), rule.Leave{Addr: n, Life: life}, addr)
 	})
-	if err := d.kin.Listen(func(n unit.Node, life unit.Life) {
-		d.actor.Do(func() { d.kin.Heard(n, life, unit.Steady()) })
-	}); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	go d.actor.Run(d.step)
--- a/internal/edict/plan.go
+++ b/internal/edict/plan.go
@@ -93,29 +93,21 @@
 
 // Steps gives the moves between two placements of the same shards, in order.
 func Steps(from, to []rule.Shard) (out []Step) {
-	in := func(ms []accord.Member, n unit.Node) bool {
-		for _, m := range ms {
-			if m.Node == n {
-				return true
-			}
-		}
-		return false
-	}
 	for i := range from {
 		old, now := from[i], to[i]
 		var away, here []unit.Node
 		for _, m := range old.Voters {
-			if !in(now.Voters, m.Node) {
+			if !accord.Holds(now.Voters, m.Node) {
 				away = append(away, m.Node)
 			}
 		}
 		for _, m := range now.Voters {
-			if !in(old.Voters, m.Node) {
+			if !accord.Holds(old.Voters, m.Node) {
 				here = append(here, m.Node)
 			}
 		}
 		for j, n := range here {
-			if !in(old.Learners, n) {
+			if !accord.Holds(old.Learners, n) {
 				out = append(out, Step{i, "follow until level", "", string(n)})
 			}
 			if j < len(away) {
@@ -128,7 +120,7 @@
 			}
 		}
 		for _, m := range old.Learners {
-			if !in(now.Learners, m.Node) && !in(now.Voters, m.Node) {
+			if !accord.Holds(now.Learners, m.Node) && !accord.Holds(now.Voters, m.Node) {
 				out = append(out, Step{i, "stop following", string(m.Node), ""})
 			}
 		}
--- a/internal/edict/state.go
+++ b/internal/edict/state.go
@@ -165,10 +165,7 @@
 		return false
 	}
 	sh := &s.Shards[r.Group]
-	same := len(sh.Seats) == len(r.Seats)
-	for i := range r.Seats {
-		same = same && r.Seats[i] == sh.Seats[i]
-	}
+	same := accord.Same(sh.Seats, r.Seats)
 	sh.Seats, sh.Epoch = r.Seats, r.Epoch
 	return !same
 }
@@ -268,11 +265,7 @@
 			done = false
 		}
 		for _, list := range [][]accord.Member{sh.Voters, sh.Learners, sh.Seats} {
-			for _, m := range list {
-				if m.Node == n.Addr {
-					done = false
-				}
-			}
+			done = done && !accord.Holds(list, n.Addr)
 		}
 	}
 	return true, n.Empty, done
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -106,7 +106,11 @@
 	return out
 }
 
-// Kin makes a node's part in the ring of heartbeats.
-func Kin(s *Settings, self rule.Node, report func(unit.Node, unit.Life)) *kin.Watch {
-	return &kin.Watch{Self: self.Addr, Life: self.Life, Beat: unit.Millis(s.BeatMs), Report: report}
+// Kin makes a node's part in the ring of heartbeats. Beats heard are handed to
+// do, the queue of the actor that owns the watch.
+func Kin(s *Settings, self rule.Node, do func(func()), report func(unit.Node, unit.Life)) (*kin.Watch, error) {
+	w := &kin.Watch{Self: self.Addr, Life: self.Life, Beat: unit.Millis(s.BeatMs), Report: report}
+	return w, w.Listen(func(n unit.Node, life unit.Life) {
+		do(func() { w.Heard(n, life, unit.Steady()) })
+	})
 }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -119,14 +119,12 @@
 			return nil, err
 		}
 	}
-	d.kin = ground.Kin(set, d.self, func(n unit.Node, life unit.Life) {
+	d.kin, err = ground.Kin(set, d.self, d.actor.Do, func(n unit.Node, life unit.Life) {
 		if at := d.norm.At(); at != "" {
 			d.hub.Send(at, rule.KindMissing, rule.Leave{Addr: n, Life: life})
 		}
 	})
-	if err := d.kin.Listen(func(n unit.Node, life unit.Life) {
-		d.actor.Do(func() { d.kin.Heard(n, life, unit.Steady()) })
-	}); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	if err := d.hub.Listen(string(addr)); err != nil {
@@ -467,15 +465,15 @@
 		}
 		if b, _ := p.Core.Lead(); p.Core.Settled() {
 			r := rule.Seated{Group: g, Epoch: b, Seats: append([]accord.Member(nil), p.Core.Seats()...)}
-			if sh := n.Shards[g]; !same(sh.Seats, r.Seats) && d.norm.At() != "" {
+			if sh := n.Shards[g]; !accord.Same(sh.Seats, r.Seats) && d.norm.At() != "" {
 				d.hub.Send(d.norm.At(), rule.KindSeated, r)
 			}
 		}
-		if p.Core.Settled() && !holds(p.Core.Seats(), d.self.Addr) {
+		if p.Core.Settled() && !accord.Holds(p.Core.Seats(), d.self.Addr) {
 			p.Core.Yield(now) // emptied: the duty goes to a member
 			continue
 		}
-		if want := n.Shards[g].Voters; !same(want, p.Core.Seats()) {
+		if want := n.Shards[g].Voters; !accord.Same(want, p.Core.Seats()) {
 			if err := p.Core.Reseat(now, want); err == nil {
 				unit.Log("reseat", "group", g, "seats", len(want))
 			}
@@ -483,27 +481,6 @@
 	}
 }
 
-func holds(ms []accord.Member, a unit.Node) bool {
-	for _, m := range ms {
-		if m.Node == a {
-			return true
-		}
-	}
-	return false
-}
-
-func same(a, b []accord.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Stop hands leaderships over, sends the followers on, and ends.
 func (d *Daemon) Stop() {
 	d.actor.Do(func() {
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -706,30 +706,18 @@
 // calm: the membership in force is the one wanted.
 func (w *World) calm() bool {
 	for _, n := range w.nodes {
-		if n.up && n.core.Role() == accord.Leader && len(n.core.Eras()) == 1 && same(n.core.Seats(), w.want) {
+		if n.up && n.core.Role() == accord.Leader && len(n.core.Eras()) == 1 && accord.Same(n.core.Seats(), w.want) {
 			return true
 		}
 	}
 	return false
 }
 
-func same(a, b []accord.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // reseat is the control plane's part: the leader is asked for the membership
 // wanted until it is in force.
 func (w *World) reseat() {
 	for _, n := range w.nodes {
-		if n.up && n.core.Role() == accord.Leader && !same(n.core.Seats(), w.want) {
+		if n.up && n.core.Role() == accord.Leader && !accord.Same(n.core.Seats(), w.want) {
 			n.core.Reseat(w.clock(n), append([]accord.Member(nil), w.want...))
 			w.flush(n)
 		}
@@ -799,7 +787,7 @@
 			w.fail("node %s stands at %d, others at %d", n.member.Node, n.core.Commit(), top)
 			continue
 		}
-		if n.core.Role() == accord.Leader && !same(n.core.Seats(), w.want) {
+		if n.core.Role() == accord.Leader && !accord.Same(n.core.Seats(), w.want) {
 			w.fail("membership %v, wanted %v", n.core.Seats(), w.want)
 		}
 		newest := int64(0)
--- /dev/null
+++ b/internal/voice/calls.go
@@ -0,0 +1,184 @@
+package voice
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/tale"
+	"oxbowdeck/internal/trace"
+	"oxbowdeck/internal/unit"
+)
+
+// call is a request on its way through the decided order.
+type call struct {
+	req    accord.Request
+	group  unit.Group
+	order  uint64
+	topic  unit.Topic
+	seq    unit.Seq
+	c      *conn // nil: nobody waits for the answer
+	end    unit.Millis
+	sent   unit.Millis
+	tries  int
+	queued bool
+	nudged bool // forwarded once more on the second path
+}
+
+func (d *Daemon) publish(now unit.Millis, c *conn, w word, sp *rule.Space) {
+	id := accord.ID{Origin: string(c.client), Seq: uint64(w.seq)}
+	if old := d.calls[id]; old != nil {
+		if old.topic == w.topic {
+			if old.c != nil {
+				old.c.calls--
+			}
+			old.c = c // the same call again, perhaps from a newer connection
+			c.calls++
+			return
+		}
+		c.put(reject(nil, wPublish, w.topic, w.seq, cRetry))
+		return
+	}
+	if len(d.calls) >= d.b.calls || c.calls >= d.b.perConn || len(d.norm0().Shards) == 0 {
+		c.put(reject(nil, wPublish, w.topic, w.seq, cRetry)) // never forwarded
+		return
+	}
+	keep := unit.Millis(0)
+	if sp.Retained() {
+		keep = unit.Millis(sp.KeepS * 1000)
+	}
+	wait := unit.Millis(sp.GuardMs) - d.b.margin
+	if wait < unit.Millis(sp.GuardMs)/2 {
+		wait = unit.Millis(sp.GuardMs) / 2
+	}
+	c.calls++
+	d.call(now, &call{c: c, topic: w.topic, seq: w.seq, end: now + wait}, id,
+		tale.Command{Verb: tale.Publish, Topic: w.topic, Client: c.client, Seq: w.seq, Body: w.body, Edge: d.self.Addr, Keep: keep})
+}
+
+// call puts a command on its way to its group's leader.
+func (d *Daemon) call(now unit.Millis, x *call, id accord.ID, cmd tale.Command) {
+	b, err := cbor.Marshal(cmd)
+	if err != nil {
+		return
+	}
+	d.order++
+	x.req, x.order = accord.Request{ID: id, Data: b}, d.order
+	x.group = unit.GroupOf(cmd.Topic, len(d.norm0().Shards))
+	d.calls[id] = x
+	d.queue(x)
+}
+
+func (d *Daemon) queue(x *call) {
+	if !x.queued {
+		x.queued = true
+		d.outq[x.group] = append(d.outq[x.group], x)
+	}
+}
+
+// forward sends what is queued to the leaders, in the order it came.
+func (d *Daemon) forward(now unit.Millis) {
+	spare := map[unit.Group]*trace.Propose{}
+	for _, x := range d.calls {
+		if lead := d.leads[x.group]; x.tries > 0 && !x.nudged && !x.queued && now-x.sent >= d.b.nudge && lead.Node != "" {
+			x.nudged = true
+			if spare[x.group] == nil {
+				spare[x.group] = &trace.Propose{Group: x.group, Again: true}
+			}
+			spare[x.group].Reqs = append(spare[x.group].Reqs, x.req)
+		}
+	}
+	for g, p := range spare {
+		sort.Slice(p.Reqs, func(i, j int) bool { return d.calls[p.Reqs[i].ID].order < d.calls[p.Reqs[j].ID].order })
+		d.hub.Spare(d.leads[g].Node).Send(trace.KindPropose, p)
+	}
+	for g, q := range d.outq {
+		lead, ok := d.leads[g]
+		if !ok || len(q) == 0 {
+			continue
+		}
+		sort.Slice(q, func(i, j int) bool { return q[i].order < q[j].order })
+		p := trace.Propose{Group: g}
+		for _, x := range q {
+			x.queued = false
+			if d.calls[x.req.ID] != x {
+				continue
+			}
+			x.sent = now
+			x.tries++
+			p.Again = p.Again || x.tries > 1
+			p.Reqs = append(p.Reqs, x.req)
+		}
+		d.outq[g] = q[:0]
+		if len(p.Reqs) > 0 {
+			d.hub.Send(lead.Node, trace.KindPropose, p)
+		}
+	}
+}
+
+// again forwards every open call of a group once more, in the old order: the
+// leader that held them may be gone. The ids make a second run harmless.
+func (d *Daemon) again(g unit.Group) {
+	for _, x := range d.calls {
+		if x.group == g && x.tries > 0 {
+			d.queue(x)
+		}
+	}
+}
+
+// seatCall tells the shard who sits where; the count of subscribers reads it.
+func (d *Daemon) seatCall(now unit.Millis, c *conn, t unit.Topic, v tale.Verb) {
+	if len(d.norm0().Shards) == 0 {
+		return
+	}
+	c.seatSeq++
+	id := accord.ID{Origin: string(d.self.Addr) + "#" + strconv.FormatUint(uint64(d.self.Life), 36) + "." + strconv.FormatUint(c.id, 36), Seq: c.seatSeq}
+	d.call(now, &call{topic: t, end: now + 10000}, id,
+		tale.Command{Verb: v, Topic: t, Client: c.client, Edge: d.self.Addr, Life: d.self.Life, Conn: c.id})
+}
+
+// outcome takes what the decided order says of a call.
+func (d *Daemon) outcome(o trace.Outcome) {
+	x := d.calls[o.ID]
+	if x == nil {
+		return
+	}
+	delete(d.calls, o.ID)
+	if x.c == nil {
+		return
+	}
+	x.c.calls--
+	if o.Verdict == tale.Refused {
+		x.c.put(reject(nil, wPublish, x.topic, x.seq, cRetry))
+		return
+	}
+	x.c.put([]byte("ACK " + string(x.topic) + " " + strconv.FormatUint(uint64(x.seq), 10) + "\r\n"))
+}
+
+func (d *Daemon) denied(x trace.Deny) {
+	for _, id := range x.IDs {
+		c := d.calls[id]
+		if c == nil {
+			continue
+		}
+		if x.Full && c.tries == 1 && c.c != nil {
+			// the only forward was turned away: it has not run and never will
+			delete(d.calls, id)
+			c.c.calls--
+			c.c.put(reject(nil, wPublish, c.topic, c.seq, cRetry))
+			continue
+		}
+		c.sent = unit.Steady() - d.b.resend + 50 // soon again: the duty is moving
+	}
+}
+
+func (d *Daemon) lead(x trace.Lead) {
+	if old := d.leads[x.Group]; x.Epoch <= old.Epoch {
+		return // news of leaders never go back
+	}
+	d.leads[x.Group] = x
+	d.again(x.Group)
+}
--- /dev/null
+++ b/internal/voice/subs.go
@@ -0,0 +1,208 @@
+package voice
+
+import (
+	"strconv"
+
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/tale"
+	"oxbowdeck/internal/trace"
+	"oxbowdeck/internal/unit"
+)
+
+type topic struct {
+	name unit.Topic
+	last unit.Pos // everything up to here was handed to the active subscriptions
+	subs map[*conn]*sub
+	on   bool // the replica followed flows it
+}
+
+type sub struct {
+	c      *conn
+	t      *topic
+	req    uint64
+	active bool
+	last   unit.Pos
+	from   unit.Pos
+	has    bool
+	cursor string
+	at     unit.Millis
+	keeps  bool
+}
+
+type census struct {
+	c     *conn
+	topic unit.Topic
+	at    unit.Millis
+}
+
+func (d *Daemon) subscribe(now unit.Millis, c *conn, w word, sp *rule.Space) {
+	t := d.topics[w.topic]
+	if t != nil && t.subs[c] != nil {
+		s := t.subs[c]
+		if s.active {
+			c.put([]byte("SUCCESS SUBSCRIBE " + string(t.name) + " " + unit.Cursor(d.group(t.name), s.last) + "\r\n"))
+		}
+		return
+	}
+	if limit := d.config.Limits.Subscriptions; limit > 0 && c.subs >= limit {
+		c.put(reject(nil, wSubscribe, w.topic, 0, cTooLarge))
+		return
+	}
+	if len(d.norm0().Shards) == 0 {
+		c.put(reject(nil, wSubscribe, w.topic, 0, cRetry))
+		return
+	}
+	s := &sub{c: c, at: now, cursor: w.arg, keeps: sp.Retained()}
+	if w.arg != "" {
+		g, p, ok := unit.ParseCursor(w.arg)
+		switch {
+		case ok && g == d.group(w.topic):
+			s.from, s.has = p, true
+		case s.keeps:
+			c.put(reject(nil, wSubscribe, w.topic, 0, cExpired))
+			return
+		default:
+			s.cursor = "" // a live space holds nothing to take up: from now on
+		}
+	}
+	if t == nil {
+		t = &topic{name: w.topic, subs: map[*conn]*sub{}}
+		d.topics[w.topic] = t
+	}
+	s.t = t
+	t.subs[c] = s
+	c.subs++
+	d.ask(s)
+}
+
+func (d *Daemon) group(t unit.Topic) unit.Group {
+	return unit.GroupOf(t, max(1, len(d.norm0().Shards)))
+}
+
+// ask puts a waiting subscription to the replica followed.
+func (d *Daemon) ask(s *sub) {
+	if d.cur == nil {
+		return // asked when one is followed
+	}
+	delete(d.reqs, s.req)
+	d.reqSeq++
+	s.req = d.reqSeq
+	d.reqs[s.req] = s
+	s.t.on = true
+	d.cur.Send(trace.KindWatch, trace.Watch{Req: s.req, Topic: s.t.name, From: s.from, Has: s.has, Keeps: s.keeps})
+}
+
+// drop ends a subscription.
+func (d *Daemon) drop(s *sub) {
+	t := s.t
+	delete(t.subs, s.c)
+	delete(d.reqs, s.req)
+	s.c.subs--
+	if s.active {
+		d.seatCall(unit.Steady(), s.c, t.name, tale.Rise)
+	}
+	if len(t.subs) == 0 {
+		delete(d.topics, t.name)
+		if t.on && d.cur != nil {
+			d.cur.Send(trace.KindUnwatch, trace.Unwatch{Topic: t.name})
+		}
+	}
+}
+
+// joined takes the replica's answer to a Watch.
+func (d *Daemon) joined(j trace.Joined) {
+	s := d.reqs[j.Req]
+	if s == nil {
+		if t := d.topics[j.Topic]; t != nil { // a topic taken up again at another replica
+			if j.Expired {
+				for c := range t.subs {
+					c.end() // it lacks what no replica has: the client takes it up anew
+				}
+				return
+			}
+			d.resume(t, j)
+		}
+		return
+	}
+	delete(d.reqs, j.Req)
+	if j.Expired {
+		s.c.put(reject(nil, wSubscribe, j.Topic, 0, cExpired))
+		d.drop(s)
+		return
+	}
+	s.active = true
+	cur := s.cursor
+	if s.has {
+		s.last = s.from
+	} else {
+		s.last = j.End
+		cur = unit.Cursor(d.group(j.Topic), j.End)
+	}
+	s.c.put([]byte("SUCCESS SUBSCRIBE " + string(j.Topic) + " " + cur + "\r\n"))
+	for _, it := range j.Items {
+		d.deliver(s, it.Pos, d.render(j.Topic, it.Pos, it.Client, it.Seq, it.Body))
+	}
+	if j.End > s.t.last {
+		s.t.last = j.End
+	}
+	d.seatCall(unit.Steady(), s.c, j.Topic, tale.Sit)
+}
+
+func (d *Daemon) resume(t *topic, j trace.Joined) {
+	for _, it := range j.Items {
+		d.spread(t, it.Pos, it.Client, it.Seq, it.Body)
+	}
+	if j.End > t.last {
+		t.last = j.End
+	}
+}
+
+func (d *Daemon) spread(t *topic, p unit.Pos, client unit.Client, seq unit.Seq, body []byte) {
+	var line []byte
+	for _, s := range t.subs {
+		if s.active && p > s.last {
+			if line == nil {
+				line = d.render(t.name, p, client, seq, body)
+			}
+			d.deliver(s, p, line)
+		}
+	}
+	if p > t.last {
+		t.last = p
+	}
+}
+
+func (d *Daemon) render(t unit.Topic, p unit.Pos, client unit.Client, seq unit.Seq, body []byte) []byte {
+	b := make([]byte, 0, len(t)+len(client)+len(body)+64)
+	b = append(append(b, "DELIVER "...), t...)
+	b = append(append(b, ' '), unit.Cursor(d.group(t), p)...)
+	b = append(append(b, ' '), client...)
+	b = strconv.AppendUint(append(b, ' '), uint64(seq), 10)
+	b = strconv.AppendInt(append(b, ' '), int64(len(body)), 10)
+	b = append(append(b, '\r', '\n'), body...)
+	return append(b, '\r', '\n')
+}
+
+func (d *Daemon) deliver(s *sub, p unit.Pos, line []byte) {
+	if p <= s.last {
+		return
+	}
+	s.last = p
+	s.c.put(line)
+}
+
+func (d *Daemon) flow(l *lane.Link, x trace.Flow) {
+	if l != d.cur {
+		return
+	}
+	d.heardAt = unit.Steady()
+	for _, it := range x.Items {
+		if t := d.topics[it.Topic]; t != nil {
+			d.spread(t, it.Pos, it.Client, it.Seq, it.Body)
+		}
+	}
+	for _, o := range x.Outcomes {
+		d.outcome(o)
+	}
+}
