Leaders return to the first in the agreed order; faster doubt of a dead one

Cause: after a roll of the stores all leaders stood on the last ones left, so one more loss hit every shard; and a killed leader was doubted after 60 ms. A leader cedes to the first in order once that is level and no slower than the others. After a broken connection 30 ms of patience are left, and a leader whose connection broke beats at once, so a reset unseats nobody.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -80,8 +80,10 @@
 	openAt   unit.Millis
 	beatAt   unit.Millis
 	toldAt   unit.Slot // commit last told to the others
-	yielding bool      // the window is being finished before a hand-over
-	draining bool      // this replica leaves: it leads no more
+	heir     unit.Node // who is to lead next
+	cededAt  unit.Millis
+	yielding bool // the window is being finished before a hand-over
+	draining bool // this replica leaves: it leads no more
 	seen     map[unit.Num]unit.Millis
 	seatNext []Member
 	courses  map[unit.Num]*course   // leader: what each replica has yet to answer
@@ -347,6 +349,12 @@
 	case Level:
 		if c.role == Leader && m.Ballot == c.leader {
 			c.levels[m.From] = max(c.levels[m.From], m.Commit)
+			if from == c.heir && !c.yielding && now-c.cededAt < c.conf.Beat && m.Commit+2 >= c.commit {
+				c.shut()
+				c.yielding = true
+				c.pump(now)
+				return
+			}
 			if m.Yes && m.Commit < c.commit {
 				e := c.envelope(from, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit})
 				e.Spare = true
--- a/internal/accord/core_test.go
+++ b/internal/accord/core_test.go
@@ -303,3 +303,40 @@
 		t.Fatalf("answered with %v", s)
 	}
 }
+
+// TestTheFirstInOrderLeadsAgain: another leader cedes to it, but only once it
+// is level, and not right after its own election.
+func TestTheFirstInOrderLeadsAgain(t *testing.T) {
+	seats := []Member{three[1], three[0], three[2]} // b comes first, a leads
+	c := replica(1, seats, Boot{})
+	c.Tick(250)
+	c.Take(251, "b", Msg{Kind: Favor, From: 2, Yes: true})
+	e := c.Drain()
+	c.Synced(252, e.Token)
+	c.Drain()
+	c.Take(253, "c", Msg{Kind: Promise, From: 3, Ballot: c.Promised()})
+	c.Submit(300, req("x", 1, 300))
+	e = c.Drain()
+	c.Synced(301, e.Token)
+	c.Take(302, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
+	c.Drain()
+	c.Cede(400)
+	if n, _ := kinds(c.Drain(), Beat); n != 0 {
+		t.Fatal("ceded right after its election")
+	}
+	c.Cede(5000)
+	if n, m := kinds(c.Drain(), Beat); n != 1 || !m.Yes {
+		t.Fatal("the first one was not asked how far it is")
+	}
+	c.Take(5001, "c", Msg{Kind: Level, From: 3, Ballot: c.leader, Commit: 1})
+	if c.Role() != Leader {
+		t.Fatal("ceded on another's word")
+	}
+	c.Take(5002, "b", Msg{Kind: Level, From: 2, Ballot: c.leader, Commit: 1})
+	if n, _ := kinds(c.Drain(), Yield); n != 1 || c.Role() == Leader {
+		t.Fatal("not ceded")
+	}
+	if c.NextWake() == never {
+		t.Fatal("one that ceded must be able to lead again")
+	}
+}
--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -60,7 +60,11 @@
 // Down tells that the connection to a peer broke: the leader has only a little
 // patience left to be heard again.
 func (c *Core) Down(now unit.Millis, node unit.Node) {
-	if c.role != Leader && node == c.leadNode {
+	if c.role == Leader {
+		c.beatAt = now - c.conf.Beat // be heard again at once: a reset is no death
+		return
+	}
+	if node == c.leadNode {
 		if h := now - c.conf.Patience + c.conf.Impatience; h < c.heardAt {
 			c.heardAt = h
 		}
@@ -106,7 +110,7 @@
 		c.heardAt = now
 	}
 	c.role = Follower
-	c.yielding = false
+	c.yielding, c.heir = false, ""
 	c.voices, c.offered = nil, nil
 }
 
@@ -193,10 +197,34 @@
 	c.pump(now)
 }
 
+// Cede hands the duty to the first replica in the agreed order, if another
+// leads: it is asked how far it is, and takes over once it is level. A replica
+// that answers much later than the others is left alone.
+func (c *Core) Cede(now unit.Millis) {
+	first := c.Seats()[0]
+	if c.role != Leader || c.yielding || c.draining || first.Num == c.conf.Self.Num || now-c.ledAt < 10*c.conf.Patience {
+		return
+	}
+	least := never
+	for _, m := range c.Seats() {
+		if k := c.courses[m.Num]; k != nil {
+			least = min(least, k.took)
+		}
+	}
+	if k := c.courses[first.Num]; k == nil || len(k.open) > c.conf.Wnd || k.took > 3*least+40 {
+		return
+	}
+	c.heir, c.cededAt = first.Node, now
+	c.send(first.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: true})
+}
+
 func (c *Core) handOver(now unit.Millis) {
-	var heir unit.Node
+	heir := c.heir
 	best := unit.Millis(-1)
 	for _, m := range c.Seats() {
+		if heir != "" {
+			break
+		}
 		if m.Num == c.conf.Self.Num {
 			continue
 		}
@@ -216,5 +244,6 @@
 	}
 	b := c.leader
 	c.stepDown(now)
+	c.heardAt = now
 	c.send(heir, Msg{Kind: Yield, Ballot: b, Commit: c.commit})
 }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -67,7 +67,7 @@
 		Stagger:    unit.Millis(set.Int("stagger_ms", 100)),
 		OpenBytes:  set.Int("open_kb", 2048) << 10,
 		FeedBytes:  set.Int("feed_kb", 256) << 10,
-		Impatience: unit.Millis(set.Int("impatience_ms", 60)),
+		Impatience: unit.Millis(set.Int("impatience_ms", 30)),
 		Nudge:      unit.Millis(set.Int("nudge_ms", 30)),
 	}
 }
@@ -473,6 +473,9 @@
 			p.Core.Yield(now) // emptied: the duty goes to a member
 			continue
 		}
+		if p.Core.Settled() {
+			p.Core.Cede(now)
+		}
 		if want := n.Shards[g].Voters; !accord.Same(want, p.Core.Seats()) {
 			if err := p.Core.Reseat(now, want); err == nil {
 				unit.Log("reseat", "group", g, "seats", len(want))
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -703,10 +703,11 @@
 	}
 }
 
-// calm: the membership in force is the one wanted.
+// calm: the membership in force is the one wanted, and each member holds what
+// was decided before it; another disk may be lost only then.
 func (w *World) calm() bool {
 	for _, n := range w.nodes {
-		if n.up && n.core.Role() == accord.Leader && len(n.core.Eras()) == 1 && accord.Same(n.core.Seats(), w.want) {
+		if n.up && n.core.Settled() && accord.Same(n.core.Seats(), w.want) {
 			return true
 		}
 	}
@@ -720,6 +721,9 @@
 		if n.up && n.core.Role() == accord.Leader && !accord.Same(n.core.Seats(), w.want) {
 			n.core.Reseat(w.clock(n), append([]accord.Member(nil), w.want...))
 			w.flush(n)
+		} else if n.up && n.core.Role() == accord.Leader && n.core.Settled() {
+			n.core.Cede(w.clock(n))
+			w.flush(n)
 		}
 	}
 	w.after(200, w.reseat)
