--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -46,6 +46,34 @@
 	commit unit.Slot
 }
 
+// lane is what waits to be proposed: an open batch, and closed ones.
+type lane struct {
+	open   []Request
+	size   int
+	openAt unit.Millis
+	time   unit.Millis // decided time of the open batch
+	urgent []string    // origins of urgent requests in the open batch
+	closed []batch
+	bytes  int
+}
+
+type batch struct {
+	val    []byte
+	urgent []string
+}
+
+func (q *lane) busy() bool { return len(q.open)+len(q.closed) > 0 }
+
+func (q *lane) shut() {
+	if len(q.open) == 0 {
+		return
+	}
+	b := batch{val: encode(Value{Stamp: q.time, Reqs: q.open}), urgent: q.urgent}
+	q.closed = append(q.closed, b)
+	q.bytes += len(b.val)
+	q.open, q.size, q.urgent = nil, 0, nil
+}
+
 // Core is one replica of one group.
 type Core struct {
 	conf     Conf
@@ -65,19 +93,17 @@
 	tokens   uint64
 	firm     unit.Slot // decided, and every entry up to it is surely on the disk
 	firming  []mark
+	unsure   int // snapshots installed that are not on the disk yet
 	waits    []wait
 	eff      Effects
 	voices   map[unit.Num]bool // favours or promises so far
 	offered  []Entry           // what promises told
 	last     unit.Slot         // highest instance to repropose
 	next     unit.Slot         // leader: next free instance
-	backlog  [][]byte          // closed batches and repeats waiting for the window
-	backSize int
-	repeats  []Entry // leader: instances to propose again, in order
-	open     []Request
-	taken    map[ID]bool // leader: requests submitted here and not decided yet
-	openSize int
-	openAt   unit.Millis
+	lanes    [2]lane           // what waits: in common, and ahead of it
+	behind   map[string]int    // urgent requests of an origin that wait in common
+	repeats  []Entry           // leader: instances to propose again, in order
+	taken    map[ID]bool       // leader: requests submitted here and not decided yet
 	beatAt   unit.Millis
 	toldAt   unit.Slot // commit last told to the others
 	heir     unit.Node // who is to lead next
@@ -85,6 +111,7 @@
 	yielding bool // the window is being finished before a hand-over
 	draining bool // this replica leaves: it leads no more
 	seen     map[unit.Num]unit.Millis
+	fed      map[unit.Node]sent // what a replica that lags was last given
 	seatNext []Member
 	courses  map[unit.Num]*course   // leader: what each replica has yet to answer
 	nudgedAt unit.Millis            // follower: when it last asked on the second path
@@ -94,13 +121,12 @@
 	clock    unit.Millis            // the highest decided time
 	ledAt    unit.Millis            // when this leader's duty began, by its own steady clock
 	ledClock unit.Millis            // the decided time it began at
-	openTime unit.Millis            // decided time of the open batch
 }
 
 // New starts a replica from what its disk holds.
 func New(conf Conf, boot Boot, now unit.Millis) *Core {
 	c := &Core{conf: conf, promised: boot.Promised, log: map[unit.Slot]*slot{}, commit: boot.Base, base: boot.Base, firm: boot.Commit, clock: boot.Clock,
-		eras: append([]Era(nil), boot.Eras...), heardAt: now, seen: map[unit.Num]unit.Millis{}}
+		eras: append([]Era(nil), boot.Eras...), heardAt: now, seen: map[unit.Num]unit.Millis{}, fed: map[unit.Node]sent{}}
 	for _, e := range boot.Entries {
 		if e.Slot <= boot.Base {
 			continue
@@ -217,7 +243,9 @@
 				c.waits[i].token = c.tokens
 			}
 		}
-		c.firming = append(c.firming, mark{c.tokens, c.commit})
+		if c.unsure == 0 {
+			c.firming = append(c.firming, mark{c.tokens, c.commit})
+		}
 	}
 	e := c.eff
 	c.eff = Effects{}
@@ -256,8 +284,10 @@
 func (c *Core) Tick(now unit.Millis) {
 	switch c.role {
 	case Leader:
-		if len(c.open) > 0 && now-c.openAt >= c.conf.Delta {
-			c.shut()
+		for i := range c.lanes {
+			if q := &c.lanes[i]; len(q.open) > 0 && now-q.openAt >= c.conf.Delta {
+				q.shut()
+			}
 		}
 		for s := c.commit + 1; s < c.next; s++ {
 			if e := c.log[s]; e != nil && e.pending && now-e.sentAt >= 2*c.conf.Beat {
@@ -286,8 +316,10 @@
 func (c *Core) NextWake() unit.Millis {
 	if c.role == Leader {
 		w := c.beatAt + c.conf.Beat
-		if len(c.open) > 0 && c.openAt+c.conf.Delta < w {
-			w = c.openAt + c.conf.Delta
+		for i := range c.lanes {
+			if q := &c.lanes[i]; len(q.open) > 0 {
+				w = min(w, q.openAt+c.conf.Delta)
+			}
 		}
 		for _, k := range c.courses {
 			for _, o := range k.open {
@@ -372,9 +404,9 @@
 			c.save(Record{}, wait{})
 		}
 	case Fetch:
-		c.feed(from, m.Slot)
+		c.feed(now, from, m.Slot)
 	case Feed:
-		c.fed(now, from, m)
+		c.take(now, from, m)
 	case Yield:
 		if m.Ballot >= c.promised && c.voter() && c.role != Leader && !c.draining {
 			c.campaign(now)
@@ -387,7 +419,7 @@
 
 // Mark puts the decided prefix on record, for a process that ends in order.
 func (c *Core) Mark() {
-	if len(c.waits) == 0 {
+	if len(c.waits) == 0 && c.unsure == 0 {
 		c.firm = c.commit
 	}
 	c.save(Record{}, wait{})
--- a/internal/accord/core_test.go
+++ b/internal/accord/core_test.go
@@ -1,6 +1,8 @@
 package accord
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"oxbowdeck/internal/unit"
@@ -107,14 +109,14 @@
 func TestBatchClosesAtBytesOrTimeout(t *testing.T) {
 	c := lead(t)
 	c.Drain()
-	c.Submit(300, req("x", 1, 50))
+	c.Submit(300, req("x", 1, 50), false)
 	if n, _ := kinds(c.Drain(), Accept); n != 0 {
 		t.Fatal("a small batch left before its timeout")
 	}
 	if w := c.NextWake(); w > 310 {
 		t.Fatalf("wakes at %d, the batch is due at 310", w)
 	}
-	c.Submit(305, req("x", 2, 50))
+	c.Submit(305, req("x", 2, 50), false)
 	c.Tick(309)
 	if n, _ := kinds(c.Drain(), Accept); n != 0 {
 		t.Fatal("the timeout runs from the first request of the batch")
@@ -125,8 +127,8 @@
 	if n != 2 || err != nil || len(v.Reqs) != 2 {
 		t.Fatalf("after the timeout: %d accepts of %d requests", n, len(v.Reqs))
 	}
-	c.Submit(311, req("x", 3, 150))
-	c.Submit(311, req("x", 4, 150))
+	c.Submit(311, req("x", 3, 150), false)
+	c.Submit(311, req("x", 4, 150), false)
 	if n, _ := kinds(c.Drain(), Accept); n != 2 {
 		t.Fatal("a full batch waited")
 	}
@@ -136,7 +138,7 @@
 	c := lead(t)
 	c.Drain()
 	for i := 0; i < 10; i++ {
-		c.Submit(300, req("x", uint64(i), 199))
+		c.Submit(300, req("x", uint64(i), 199), false)
 	}
 	if n, _ := c.Pending(); n != 3 {
 		t.Fatalf("%d undecided instances, WND is 3", n)
@@ -144,7 +146,7 @@
 	c = lead(t)
 	c.Drain()
 	for i := 0; i < 3; i++ {
-		c.Submit(300, req("x", uint64(i), 700))
+		c.Submit(300, req("x", uint64(i), 700), false)
 	}
 	if n, _ := c.Pending(); n != 1 {
 		t.Fatalf("%d undecided instances of 700 bytes, the bound is 1000 bytes", n)
@@ -155,7 +157,7 @@
 	c := lead(t)
 	c.Drain()
 	for i := 0; i < 5; i++ {
-		if err := c.Submit(300, req("x", 1, 50)); err != nil {
+		if err := c.Submit(300, req("x", 1, 50), false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -169,13 +171,13 @@
 func TestDrainFinishesTheWindowFirst(t *testing.T) {
 	c := lead(t)
 	c.Drain()
-	c.Submit(300, req("x", 1, 300))
+	c.Submit(300, req("x", 1, 300), false)
 	e := c.Drain()
 	c.Yield(301)
 	if n, _ := kinds(c.Drain(), Yield); n != 0 || c.Role() != Leader {
 		t.Fatal("handed over with an instance undecided")
 	}
-	if err := c.Submit(302, req("x", 2, 10)); err != ErrNotLeader {
+	if err := c.Submit(302, req("x", 2, 10), false); err != ErrNotLeader {
 		t.Fatalf("a draining leader took a request: %v", err)
 	}
 	c.Synced(303, e.Token)
@@ -223,7 +225,7 @@
 	c.Drain()
 	c.Take(900003, "b", Msg{Kind: Promise, From: 2, Ballot: c.Promised()})
 	c.Drain()
-	c.Submit(900103, req("x", 1, 300))
+	c.Submit(900103, req("x", 1, 300), false)
 	_, m := kinds(c.Drain(), Accept)
 	if v, _ := decode(m.Val); v.Stamp != 5100 {
 		t.Fatalf("stamp %d, want 100 ms after the decided time 5000", v.Stamp)
@@ -265,7 +267,7 @@
 	c := lead(t)
 	c.Drain()
 	c.Take(299, "c", Msg{Kind: Accepted, From: 3, Ballot: c.leader, Slot: 99}) // c lives
-	c.Submit(300, req("x", 1, 300))
+	c.Submit(300, req("x", 1, 300), false)
 	c.Drain()
 	c.Take(310, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
 	c.Tick(339)
@@ -315,7 +317,7 @@
 	c.Synced(252, e.Token)
 	c.Drain()
 	c.Take(253, "c", Msg{Kind: Promise, From: 3, Ballot: c.Promised()})
-	c.Submit(300, req("x", 1, 300))
+	c.Submit(300, req("x", 1, 300), false)
 	e = c.Drain()
 	c.Synced(301, e.Token)
 	c.Take(302, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
@@ -340,3 +342,86 @@
 		t.Fatal("one that ceded must be able to lead again")
 	}
 }
+
+// TestUrgentPassesWhatTheWindowHoldsUp, and nothing passes an earlier request of
+// its own origin.
+func TestUrgentPassesWhatTheWindowHoldsUp(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	c.Submit(300, req("early", 1, 20), true) // in the common lane: nothing waits yet
+	for i := 0; i < 6; i++ {
+		c.Submit(300, req("bulk", uint64(i), 199), false)
+	}
+	c.Submit(301, req("early", 2, 20), true)
+	c.Submit(301, req("late", 1, 20), true)
+	c.Submit(302, req("bulk", 9, 199), false)
+	c.Tick(312)
+	var order []string
+	for s := unit.Slot(1); s < 12; s++ {
+		for _, x := range c.Drain().Sends {
+			if x.Msg.Kind == Accept && x.To == "b" {
+				v, _ := decode(x.Msg.Val)
+				for _, r := range v.Reqs {
+					order = append(order, fmt.Sprint(r.ID.Origin, r.ID.Seq))
+				}
+			}
+		}
+		c.Take(313, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: s})
+		c.Take(313, "c", Msg{Kind: Accepted, From: 3, Ballot: c.leader, Slot: s})
+	}
+	at := func(s string) int { return slices.Index(order, s) }
+	if at("late1") < 0 || at("late1") > at("bulk5") {
+		t.Errorf("an urgent request waited behind the bulk: %v", order)
+	}
+	if at("early2") < at("early1") {
+		t.Errorf("a request passed an earlier one of its origin: %v", order)
+	}
+	if len(order) != 10 {
+		t.Errorf("%d of 10 requests were proposed: %v", len(order), order)
+	}
+}
+
+// TestDecidedMarkWaitsForASnapshot: one that came from another replica must be
+// on the disk before a record says that its instances are decided.
+func TestDecidedMarkWaitsForASnapshot(t *testing.T) {
+	c := replica(2, three, Boot{})
+	b := unit.MakeBallot(1, 1)
+	c.Install(1, 10, []Era{{Seats: three}}, 0)
+	record := func(s unit.Slot) unit.Slot {
+		c.Take(2, "a", Msg{Kind: Accept, From: 1, Ballot: b, Slot: s, Val: encode(Value{})})
+		e := c.Drain()
+		c.Synced(3, e.Token)
+		return e.Saves[len(e.Saves)-1].Commit
+	}
+	record(11)
+	if m := record(12); m != 0 {
+		t.Fatalf("the record says %d is decided, its snapshot is not on disk", m)
+	}
+	c.Firm()
+	record(13)
+	if m := record(14); m != 10 {
+		t.Fatalf("the record says %d once the snapshot is on disk, want 10", m)
+	}
+}
+
+// TestOneFeedAtATime: a replica that lags asks until it is level; what is on its
+// way already is not sent again at once.
+func TestOneFeedAtATime(t *testing.T) {
+	c := lead(t)
+	c.Drain()
+	c.Submit(300, req("x", 1, 300), false)
+	e := c.Drain()
+	c.Synced(301, e.Token)
+	c.Take(302, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1})
+	c.Drain()
+	for now := unit.Millis(310); now < 340; now += 10 {
+		c.Take(now, "c", Msg{Kind: Fetch, From: 3, Slot: 1})
+	}
+	if n, _ := kinds(c.Drain(), Feed); n != 1 {
+		t.Fatalf("%d feeds for three askings in one beat", n)
+	}
+	c.Take(400, "c", Msg{Kind: Fetch, From: 3, Slot: 1})
+	if n, _ := kinds(c.Drain(), Feed); n != 1 {
+		t.Fatal("no feed once the first may be lost")
+	}
+}
--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -99,7 +99,7 @@
 
 func (c *Core) stepDown(now unit.Millis) {
 	if c.role == Leader {
-		c.open, c.openSize, c.backlog, c.backSize, c.repeats = nil, 0, nil, 0, nil
+		c.lanes, c.behind, c.repeats = [2]lane{}, nil, nil
 		c.taken = nil
 		for _, e := range c.log {
 			e.pending = false
@@ -178,7 +178,7 @@
 	for s := c.commit + 1; s <= top; s++ {
 		c.repeats = append(c.repeats, Entry{Slot: s, Val: best[s].Val})
 	}
-	c.open, c.openSize, c.backlog, c.backSize = nil, 0, nil, 0
+	c.lanes, c.behind = [2]lane{}, map[string]int{}
 	c.yielding = false
 	c.voices, c.offered = nil, nil
 	c.pump(now)
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -77,8 +77,11 @@
 	}
 }
 
-// Submit puts a request into the open batch.
-func (c *Core) Submit(now unit.Millis, r Request) error {
+// Submit puts a request into an open batch. An urgent one does not wait behind
+// batches that the window holds up: it gathers in a lane of its own, unless an
+// earlier one of its origin is still in the common lane, so no request passes
+// another of its origin.
+func (c *Core) Submit(now unit.Millis, r Request, urgent bool) error {
 	if c.role != Leader || c.yielding {
 		return ErrNotLeader
 	}
@@ -86,24 +89,32 @@
 		return nil // forwarded again while it waits: once is enough
 	}
 	size := len(r.Data) + len(r.ID.Origin) + 12
-	if c.openSize+c.backSize+size > c.conf.OpenBytes {
+	if _, waits := c.Pending(); waits+size > c.conf.OpenBytes {
 		return ErrFull
 	}
-	if c.openSize > 0 && c.openSize+size > c.conf.Bsz {
-		c.shut()
+	q := &c.lanes[0]
+	if urgent && c.behind[r.ID.Origin] == 0 && (len(q.closed) > 0 || c.lanes[1].busy()) {
+		q = &c.lanes[1]
 	}
-	if len(c.open) == 0 {
-		c.openAt = now // Δ_B runs from the first request of a batch
+	if q.size > 0 && q.size+size > c.conf.Bsz {
+		q.shut()
+	}
+	if len(q.open) == 0 {
+		q.openAt = now // Δ_B runs from the first request of a batch
 		// Decided time is what leaders' steady clocks measured while they led,
 		// one after the other: it can lag true time, never run ahead of it, and no
 		// stepped clock can make history look old.
-		c.openTime = c.ledClock + now - c.ledAt
+		q.time = c.ledClock + now - c.ledAt
 	}
 	c.taken[r.ID] = true
-	c.open = append(c.open, r)
-	c.openSize += size
-	if c.openSize >= c.conf.Bsz {
-		c.shut()
+	q.open = append(q.open, r)
+	q.size += size
+	if urgent && q == &c.lanes[0] {
+		c.behind[r.ID.Origin]++
+		q.urgent = append(q.urgent, r.ID.Origin)
+	}
+	if q.size >= c.conf.Bsz {
+		q.shut()
 	}
 	c.pump(now)
 	return nil
@@ -122,14 +133,21 @@
 	return nil
 }
 
+// shut closes every open batch: the leader hands over.
 func (c *Core) shut() {
-	if len(c.open) == 0 {
-		return
+	for i := range c.lanes {
+		c.lanes[i].shut()
 	}
-	b := encode(Value{Stamp: c.openTime, Reqs: c.open})
-	c.backlog = append(c.backlog, b)
-	c.backSize += len(b)
-	c.open, c.openSize = nil, 0
+}
+
+// ready gives the lane whose first closed batch is next.
+func (c *Core) ready() *lane {
+	for _, q := range []*lane{&c.lanes[1], &c.lanes[0]} {
+		if len(q.closed) > 0 {
+			return q
+		}
+	}
+	return nil
 }
 
 // pump proposes closed batches while the window has room.
@@ -146,18 +164,24 @@
 		case c.seatNext != nil:
 			v = encode(Value{Seats: c.seatNext})
 			c.seatNext = nil
-		case len(c.backlog) > 0:
-			v = c.backlog[0]
+		case c.ready() != nil:
+			q := c.ready()
+			v = q.closed[0].val
 			if f := c.flight(); f > 0 && f+len(v) > c.conf.WndBytes {
 				c.tell(now)
 				return
 			}
-			c.backlog = c.backlog[1:]
-			c.backSize -= len(v)
+			for _, o := range q.closed[0].urgent {
+				if c.behind[o]--; c.behind[o] == 0 {
+					delete(c.behind, o)
+				}
+			}
+			q.closed = q.closed[1:]
+			q.bytes -= len(v)
 		case len(c.eras) > 1 && c.next <= c.eras[len(c.eras)-1].From:
 			v = nil // no-ops carry a membership change into force
 		default:
-			if c.yielding && c.commit+1 == c.next && len(c.open) == 0 {
+			if c.yielding && c.commit+1 == c.next && !c.lanes[0].busy() && !c.lanes[1].busy() {
 				c.handOver(now)
 				return
 			}
@@ -218,7 +242,10 @@
 	if c.role != Leader {
 		return 0, 0
 	}
-	return int(c.next - 1 - c.commit), c.openSize + c.backSize
+	for i := range c.lanes {
+		bytes += c.lanes[i].size + c.lanes[i].bytes
+	}
+	return int(c.next - 1 - c.commit), bytes
 }
 
 // Settled tells a leader that one membership is in force and each of its
--- a/internal/accord/learn.go
+++ b/internal/accord/learn.go
@@ -134,11 +134,15 @@
 	}
 }
 
-func (c *Core) feed(to unit.Node, from unit.Slot) {
+func (c *Core) feed(now unit.Millis, to unit.Node, from unit.Slot) {
 	if from <= c.base {
 		c.eff.Snaps = append(c.eff.Snaps, to)
 		return
 	}
+	if f := c.fed[to]; f.slot == from && now-f.at < c.conf.Beat {
+		return // it is on its way
+	}
+	c.fed[to] = sent{slot: from, at: now}
 	m := Msg{Kind: Feed, Ballot: c.promised, Commit: c.commit}
 	size := 0
 	for s := from; s <= c.commit && size < c.conf.FeedBytes; s++ {
@@ -151,7 +155,7 @@
 	}
 }
 
-func (c *Core) fed(now unit.Millis, from unit.Node, m Msg) {
+func (c *Core) take(now unit.Millis, from unit.Node, m Msg) {
 	for _, e := range m.Entries {
 		if e.Slot <= c.commit {
 			continue
@@ -183,6 +187,7 @@
 		return false
 	}
 	c.commit, c.base = at, at
+	c.unsure++
 	c.clock = max(c.clock, clock)
 	c.eras = append([]Era(nil), eras...)
 	for s := range c.log {
@@ -218,3 +223,7 @@
 	}
 	return c.leadNode != "" && now-c.heardAt < c.conf.Patience+2*c.conf.Beat && c.commit >= c.told
 }
+
+// Firm tells that an installed snapshot is on the disk: until then no decided
+// mark may count on it.
+func (c *Core) Firm() { c.unsure-- }
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -72,6 +72,7 @@
 	Save() ([]byte, error)
 	Load([]byte) error
 	Clock() unit.Millis // the decided time it stands at
+	Size() int          // about how many bytes Save gives
 }
 
 // Part is one group's replica.
@@ -81,7 +82,9 @@
 	group   unit.Group
 	logged  int // bytes applied since the last snapshot
 	saving  bool
-	snapped unit.Slot // the newest durable snapshot
+	tail    []applied                 // what the engine holds of the decided log
+	held    int                       // its bytes
+	given   map[unit.Node]unit.Millis // until when a peer gets no other snapshot
 	wake    unit.Millis
 	lead    unit.Ballot
 }
@@ -93,6 +96,7 @@
 	Vault    *vault.Vault
 	Kind     lane.Kind // frames of the engine
 	SnapKind lane.Kind
+	TailAt   int                                            // log bytes kept in memory, for replicas that lag a little
 	SnapAt   int                                            // log bytes between snapshots
 	OnLead   func(g unit.Group, b unit.Ballot, n unit.Node) // the acting leader changed
 	Parts    map[unit.Group]*Part
@@ -121,7 +125,7 @@
 		boot.Eras = []accord.Era{{From: 0, Seats: genesis}}
 	}
 	boot.Clock = m.Clock()
-	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group}
+	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group, given: map[unit.Node]unit.Millis{}}
 	ch.Parts[conf.Group] = p
 	ch.flush(p)
 	return p, nil
@@ -173,6 +177,7 @@
 		for _, d := range e.Decided {
 			p.Machine.Apply(d)
 			p.logged += len(d.Raw) + 64
+			p.keep(d.Slot, len(d.Raw)+64, ch.TailAt)
 		}
 		for _, n := range e.Snaps {
 			ch.sendSnap(p, n)
@@ -184,11 +189,33 @@
 			ch.OnLead(p.group, b, n)
 		}
 	}
-	if p.logged > ch.SnapAt && !p.saving {
+	if p.logged > max(ch.SnapAt, 2*p.Machine.Size()) && !p.saving {
 		ch.snapshot(p)
 	}
 }
 
+type applied struct {
+	slot  unit.Slot
+	bytes int
+}
+
+// keep lets go of the oldest of the decided log in memory, past a bound. The
+// disk keeps it until a snapshot covers it; a replica that lags further gets a
+// snapshot.
+func (p *Part) keep(s unit.Slot, bytes, most int) {
+	p.tail = append(p.tail, applied{s, bytes})
+	p.held += bytes
+	n := 0
+	for p.held > most && n < len(p.tail)-1 {
+		p.held -= p.tail[n].bytes
+		n++
+	}
+	if n > 0 {
+		p.Core.Trim(p.tail[n-1].slot)
+		p.tail = append([]applied(nil), p.tail[n:]...)
+	}
+}
+
 func (ch *Choir) image(p *Part) (vault.Snapshot, error) {
 	b, err := p.Machine.Save()
 	return vault.Snapshot{Slot: p.Core.Commit(), Eras: p.Core.Eras(), State: b}, err
@@ -208,9 +235,6 @@
 				ch.Failed(err)
 				return
 			}
-			// one snapshot's worth of log stays at hand for replicas that lag
-			p.Core.Trim(p.snapped)
-			p.snapped = s.Slot
 		})
 	})
 }
@@ -225,12 +249,19 @@
 	ch.Vault.Compact()
 }
 
+// sendSnap gives a peer the state. It asks again while that is on its way; a
+// second one would only press a peer that lags because it is pressed.
 func (ch *Choir) sendSnap(p *Part, n unit.Node) {
+	now := unit.Steady()
+	if now < p.given[n] {
+		return
+	}
 	s, err := ch.image(p)
 	if err != nil {
 		unit.Log("snapshot-failed", "group", p.group, "err", err)
 		return
 	}
+	p.given[n] = now + 1000 + unit.Millis(len(s.State)>>13) // 8 KiB a millisecond
 	unit.Log("snapshot-sent", "group", p.group, "peer", n, "slot", s.Slot, "bytes", len(s.State))
 	ch.Hub.Send(n, ch.SnapKind, snapFrame{Group: p.group, Snap: s})
 }
@@ -256,14 +287,15 @@
 		}
 		p.Core.Install(unit.Steady(), f.Snap.Slot, f.Snap.Eras, p.Machine.Clock())
 		unit.Log("snapshot-taken", "group", f.Group, "peer", from, "slot", f.Snap.Slot)
-		// the snapshot goes down before anything that counts on it
 		p.saving, p.logged = true, 0
 		ch.Vault.SaveSnapshot(f.Group, f.Snap, func(err error) {
 			ch.Actor.Do(func() {
 				p.saving = false
 				if err != nil {
 					ch.Failed(err)
+					return
 				}
+				p.Core.Firm()
 			})
 		})
 		ch.flush(p)
@@ -281,12 +313,12 @@
 }
 
 // Submit puts a request to a group's leader, if it is here.
-func (ch *Choir) Submit(g unit.Group, r accord.Request) error {
+func (ch *Choir) Submit(g unit.Group, r accord.Request, urgent bool) error {
 	p := ch.Parts[g]
 	if p == nil {
 		return accord.ErrNotLeader
 	}
-	err := p.Core.Submit(unit.Steady(), r)
+	err := p.Core.Submit(unit.Steady(), r, urgent)
 	ch.flush(p)
 	return err
 }
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -84,7 +84,7 @@
 		Disk: id.Disk, Life: unit.Life(rand.Uint64() >> 1), Num: id.Num}
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
 	d.ch = &choir.Choir{Actor: d.actor, Hub: d.hub, Vault: d.vault, Kind: rule.KindNormGroup, SnapKind: rule.KindNormSnap,
-		SnapAt: 4 << 20, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal,
+		TailAt: 1 << 20, SnapAt: 4 << 20, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal,
 		OnLead: func(_ unit.Group, b unit.Ballot, n unit.Node) { unit.Log("norm-leader", "epoch", b.Round(), "node", n) }}
 	if d.part, err = d.ch.Open(conf(set, accord.Member{Num: id.Num, Node: addr}), genesis, d); err != nil {
 		return nil, err
@@ -165,6 +165,9 @@
 	}
 }
 
+// Size: a snapshot is always small against the log that asks for one.
+func (d *Daemon) Size() int { return 0 }
+
 // Clock: nothing in norm's state depends on time.
 func (d *Daemon) Clock() unit.Millis { return 0 }
 
@@ -221,7 +224,7 @@
 			}
 		case rule.KindAsk:
 			if a, ok := lane.Get[ask](b); ok {
-				d.ch.Submit(0, a.Req) // refused or lost: the asker asks again
+				d.ch.Submit(0, a.Req, false) // refused or lost: the asker asks again
 			}
 		case rule.KindLeave:
 			if x, ok := lane.Get[rule.Leave](b); ok {
@@ -310,7 +313,7 @@
 	_, lead := d.part.Core.Lead()
 	switch {
 	case lead == d.self.Addr:
-		d.ch.Submit(0, req)
+		d.ch.Submit(0, req, false)
 	case lead != "":
 		d.hub.Send(lead, rule.KindAsk, ask{Req: req})
 	}
--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -194,9 +194,9 @@
 	return def
 }
 
-// Heap is the memory that live objects take, and garbage not yet collected.
+// Heap is the memory that live objects took at the last collection.
 func Heap() int64 {
-	s := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	s := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	metrics.Read(s)
 	return int64(s[0].Value.Uint64())
 }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -107,7 +107,7 @@
 	d.self = rule.Node{Name: set.Name, Duty: rule.Store, Zone: set.Zone, Addr: addr, Disk: disk, Life: unit.Life(rand.Uint64() >> 1)}
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
 	d.ch = &choir.Choir{Actor: d.actor, Hub: d.hub, Vault: d.vault, Kind: trace.KindGroup, SnapKind: trace.KindSnap,
-		SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
+		TailAt: set.Int("log_tail_kb", 6144) << 10, SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
 	d.hub.Far = d.norm.Far
 	var shards []rule.Shard
@@ -213,6 +213,8 @@
 	})
 }
 
+func (s *shard) Size() int { return s.state.Bytes() }
+
 func (s *shard) Clock() unit.Millis { return s.state.Clock() }
 
 func (s *shard) Save() ([]byte, error) { return s.state.Save() }
@@ -372,7 +374,7 @@
 		}
 		err := accord.ErrFull
 		if !d.full {
-			err = d.ch.Submit(x.Group, r)
+			err = d.ch.Submit(x.Group, r, x.Urgent)
 		}
 		if err != nil {
 			deny.Full = errors.Is(err, accord.ErrFull)
@@ -459,7 +461,7 @@
 			if e := n.Find(h.Edge); e != nil && (e.Life != h.Life || e.Gone) {
 				cmd, err := cbor.Marshal(tale.Command{Verb: tale.Gone, Edge: h.Edge, Life: h.Life})
 				if err == nil {
-					d.ch.Submit(g, accord.Request{ID: accord.ID{Origin: "gone/" + string(h.Edge), Seq: uint64(h.Life)}, Data: cmd})
+					d.ch.Submit(g, accord.Request{ID: accord.ID{Origin: "gone/" + string(h.Edge), Seq: uint64(h.Life)}, Data: cmd}, false)
 				}
 			}
 		}
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -79,6 +79,7 @@
 	recs  []accord.Record
 	snap  *snap
 	token uint64
+	came  bool // the snapshot came from another node
 }
 
 type snap struct {
@@ -304,14 +305,25 @@
 		if n.life != life || n.disk != d {
 			return
 		}
-		done := d.pending[:count]
-		d.pending = append([]write(nil), d.pending[count:]...)
+		// as on the real disk, a snapshot takes many turns, and records pass it
+		var done, rest []write
+		for i, x := range d.pending {
+			if i < count && (x.snap == nil || w.rng.Intn(8) == 0) {
+				done = append(done, x)
+			} else {
+				rest = append(rest, x)
+			}
+		}
+		d.pending = rest
 		for _, x := range done {
 			d.apply(x)
 		}
 		for _, x := range done {
 			if x.snap != nil {
 				n.core.Trim(x.snap.slot)
+				if x.came {
+					n.core.Firm()
+				}
 			} else {
 				n.core.Synced(w.clock(n), x.token)
 			}
@@ -396,7 +408,7 @@
 		}
 		to.core.Install(w.clock(to), s.slot, s.eras, s.clock)
 		w.logf("snapshot node=%s slot=%d", to.member.Node, s.slot)
-		w.store(to, write{snap: s})
+		w.store(to, write{snap: s, came: true})
 		w.flush(to)
 	})
 }
@@ -572,7 +584,7 @@
 		if n.up && n.core.Role() == accord.Leader && !n.cut {
 			w.after(w.delay(n), func() {
 				if n.up && n.core.Role() == accord.Leader {
-					n.core.Submit(w.clock(n), req)
+					n.core.Submit(w.clock(n), req, req.ID.Origin < "c3")
 					w.flush(n)
 				}
 			})
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -135,6 +135,16 @@
 	return &c, nil
 }
 
+// Urgent tells whether a space stands above the lowest level there is.
+func (c *Config) Urgent(s *Space) bool {
+	for i := range c.Spaces {
+		if c.Spaces[i].Level < s.Level {
+			return true
+		}
+	}
+	return false
+}
+
 // Space gives the space of a topic: the longest prefix it begins with.
 func (c *Config) Space(t unit.Topic) *Space {
 	for i := range c.Spaces {
--- a/internal/tale/tale.go
+++ b/internal/tale/tale.go
@@ -5,7 +5,10 @@
 package tale
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/fxamacker/cbor/v2"
@@ -369,15 +372,24 @@
 	Life unit.Life
 }
 
-type image struct {
+// A saved state is a sequence of small items: a head with counts, then topics,
+// marks and seats, each in a fixed order. Equal states give equal bytes, and no
+// item makes the encoder hold the whole state twice.
+type head struct {
 	_      struct{} `cbor:",toarray"`
 	Clock  unit.Millis
 	Swept  unit.Millis
 	Slot   unit.Slot
 	Floor  unit.Pos
-	Topics map[unit.Topic]*Topic
-	Marks  []markRow
-	Seats  map[unit.Topic]map[unit.Client]seat
+	Topics int
+	Marks  int
+	Seats  int
+}
+
+type topicRow struct {
+	_    struct{} `cbor:",toarray"`
+	Name unit.Topic
+	T    *Topic
 }
 
 type markRow struct {
@@ -386,49 +398,89 @@
 	M *mark
 }
 
-var canon = func() cbor.EncMode {
-	m, err := cbor.CanonicalEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
+type seatRow struct {
+	_      struct{} `cbor:",toarray"`
+	Topic  unit.Topic
+	Client unit.Client
+	S      seat
+}
 
 // Save writes the whole state: equal states give equal bytes.
 func (s *State) Save() ([]byte, error) {
-	im := image{Clock: s.clock, Swept: s.swept, Slot: s.slot, Floor: s.floor, Topics: s.topics, Seats: s.seats}
-	for k, m := range s.marks {
-		im.Marks = append(im.Marks, markRow{K: k, M: m})
+	buf := bytes.NewBuffer(make([]byte, 0, s.bytes+s.bytes/8+len(s.marks)*48+1024))
+	enc := cbor.NewEncoder(buf)
+	h := head{Clock: s.clock, Swept: s.swept, Slot: s.slot, Floor: s.floor, Topics: len(s.topics), Marks: len(s.marks)}
+	for _, t := range s.seats {
+		h.Seats += len(t)
+	}
+	if err := enc.Encode(h); err != nil {
+		return nil, err
 	}
-	sort.Slice(im.Marks, func(i, j int) bool {
-		a, b := im.Marks[i].K, im.Marks[j].K
-		if a.Client != b.Client {
-			return a.Client < b.Client
+	for _, n := range slices.Sorted(maps.Keys(s.topics)) {
+		if err := enc.Encode(topicRow{Name: n, T: s.topics[n]}); err != nil {
+			return nil, err
 		}
-		return a.Topic < b.Topic
+	}
+	keys := make([]markKey, 0, len(s.marks))
+	for k := range s.marks {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].Client != keys[j].Client {
+			return keys[i].Client < keys[j].Client
+		}
+		return keys[i].Topic < keys[j].Topic
 	})
-	return canon.Marshal(im)
+	for _, k := range keys {
+		if err := enc.Encode(markRow{K: k, M: s.marks[k]}); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.seats)) {
+		for _, c := range slices.Sorted(maps.Keys(s.seats[n])) {
+			if err := enc.Encode(seatRow{Topic: n, Client: c, S: s.seats[n][c]}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return buf.Bytes(), nil
 }
 
-// Load replaces the state by a saved one.
+// Load replaces the state by a saved one; a damaged one changes nothing.
 func (s *State) Load(b []byte) error {
-	var im image
-	if err := cbor.Unmarshal(b, &im); err != nil {
+	dec := cbor.NewDecoder(bytes.NewReader(b))
+	var h head
+	if err := dec.Decode(&h); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	n := New(s.Bounds)
-	n.clock, n.swept, n.slot, n.floor = im.Clock, im.Swept, im.Slot, im.Floor
-	for k, t := range im.Topics {
-		n.topics[k] = t
-		for _, it := range t.Items {
+	n.clock, n.swept, n.slot, n.floor = h.Clock, h.Swept, h.Slot, h.Floor
+	for i := 0; i < h.Topics; i++ {
+		var r topicRow
+		if err := dec.Decode(&r); err != nil || r.T == nil {
+			return fmt.Errorf("snapshot: topic %d of %d: %v", i, h.Topics, err)
+		}
+		n.topics[r.Name] = r.T
+		for _, it := range r.T.Items {
 			n.bytes += len(it.Body) + 64
 		}
 	}
-	for _, r := range im.Marks {
+	for i := 0; i < h.Marks; i++ {
+		var r markRow
+		if err := dec.Decode(&r); err != nil || r.M == nil {
+			return fmt.Errorf("snapshot: mark %d of %d: %v", i, h.Marks, err)
+		}
 		n.marks[r.K] = r.M
 	}
-	for k, t := range im.Seats {
-		n.seats[k] = t
+	for i := 0; i < h.Seats; i++ {
+		var r seatRow
+		if err := dec.Decode(&r); err != nil {
+			return fmt.Errorf("snapshot: seat %d of %d: %v", i, h.Seats, err)
+		}
+		if n.seats[r.Topic] == nil {
+			n.seats[r.Topic] = map[unit.Client]seat{}
+		}
+		n.seats[r.Topic][r.Client] = r.S
 	}
 	*s = *n
 	return nil
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -70,10 +70,11 @@
 
 // Propose forwards requests to a group's leader.
 type Propose struct {
-	_     struct{} `cbor:",toarray"`
-	Group unit.Group
-	Reqs  []accord.Request
-	Again bool // forwarded before
+	_      struct{} `cbor:",toarray"`
+	Group  unit.Group
+	Reqs   []accord.Request
+	Again  bool // forwarded before
+	Urgent bool // of a space above the lowest prio_level
 }
 
 // Deny tells that requests were not taken, now or ever by this forward.
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -31,6 +31,21 @@
 	compacting atomic.Bool
 }
 
+// snapHead says which rows make a group's snapshot. It is written, and synced,
+// after they are: until then the one before it holds.
+type snapHead struct {
+	_     struct{} `cbor:",toarray"`
+	Slot  unit.Slot
+	Eras  []accord.Era
+	Gen   uint32
+	Rows  uint32
+	Bytes uint64
+}
+
+// snapRow bytes go into one row, so that a large state does not hold the disk,
+// or the memory, up at once.
+const snapRow = 128 << 10
+
 type job struct {
 	group unit.Group
 	recs  []accord.Record
@@ -100,32 +115,84 @@
 
 func (v *Vault) work() {
 	defer close(v.done)
+	var snaps []job // being written, a row a turn
+	next := uint32(0)
 	for {
 		v.mu.Lock()
 		all, shut := v.jobs, v.shut
 		v.jobs = nil
 		v.mu.Unlock()
+		var b leveldb.Batch
+		for _, j := range all {
+			if j.snap != nil {
+				snaps = append(snaps, j)
+			} else {
+				put(&b, j)
+			}
+		}
+		if b.Len() > 0 {
+			err := unit.Err("write", "disk", v.db.Write(&b, &opt.WriteOptions{Sync: true}))
+			for _, j := range all {
+				if j.snap == nil {
+					j.then(err)
+				}
+			}
+		}
+		if len(snaps) > 0 {
+			done, err := v.snapRow(snaps[0], next)
+			next++
+			if done || err != nil {
+				snaps[0].then(unit.Err("write snapshot", "disk", err))
+				snaps, next = snaps[1:], 0
+			}
+			continue
+		}
 		if len(all) == 0 {
 			if shut {
 				return
 			}
 			<-v.more
-			continue
-		}
-		var b leveldb.Batch
-		for _, j := range all {
-			put(&b, j)
-		}
-		err := v.db.Write(&b, &opt.WriteOptions{Sync: true})
-		for _, j := range all {
-			if err == nil && j.snap != nil {
-				err = v.trim(j.group, j.snap.Slot)
-			}
-			j.then(unit.Err("write", "disk", err))
 		}
 	}
 }
 
+// snapRow writes one row of a snapshot; after the last one its head, synced,
+// and drops what the head makes needless.
+func (v *Vault) snapRow(j job, n uint32) (done bool, err error) {
+	var old snapHead
+	if err := v.get(key(j.group, 'S', 0), &old); err != nil {
+		return false, err
+	}
+	gen := old.Gen + 1
+	rows := uint32((len(j.snap.State) + snapRow - 1) / snapRow)
+	if n < rows {
+		from := int(n) * snapRow
+		return false, v.db.Put(key(j.group, 's', unit.Slot(gen)<<32|unit.Slot(n)), j.snap.State[from:min(from+snapRow, len(j.snap.State))], nil)
+	}
+	b, err := cbor.Marshal(snapHead{Slot: j.snap.Slot, Eras: j.snap.Eras, Gen: gen, Rows: rows, Bytes: uint64(len(j.snap.State))})
+	if err != nil {
+		return false, err
+	}
+	if err := v.db.Put(key(j.group, 'S', 0), b, &opt.WriteOptions{Sync: true}); err != nil {
+		return false, err
+	}
+	if err := v.drop(key(j.group, 's', 0), key(j.group, 's', unit.Slot(gen)<<32)); err != nil {
+		return false, err
+	}
+	return true, v.drop(key(j.group, 'e', 0), key(j.group, 'e', j.snap.Slot+1))
+}
+
+func (v *Vault) get(k []byte, into any) error {
+	b, err := v.db.Get(k, nil)
+	if errors.Is(err, leveldb.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, into)
+}
+
 func put(b *leveldb.Batch, j job) {
 	var head headRow
 	for _, r := range j.recs {
@@ -139,15 +206,11 @@
 		row, _ := cbor.Marshal(head)
 		b.Put(key(j.group, 'h', 0), row)
 	}
-	if j.snap != nil {
-		row, _ := cbor.Marshal(j.snap)
-		b.Put(key(j.group, 's', 0), row)
-	}
 }
 
-// trim drops entries that a durable snapshot covers.
-func (v *Vault) trim(g unit.Group, upTo unit.Slot) error {
-	it := v.db.NewIterator(&util.Range{Start: key(g, 'e', 0), Limit: key(g, 'e', upTo+1)}, &opt.ReadOptions{DontFillCache: true})
+// drop deletes a range of rows that a durable snapshot made needless.
+func (v *Vault) drop(from, to []byte) error {
+	it := v.db.NewIterator(&util.Range{Start: from, Limit: to}, &opt.ReadOptions{DontFillCache: true})
 	defer it.Release()
 	var b leveldb.Batch
 	for it.Next() {
@@ -186,24 +249,25 @@
 
 // Load reads what the disk holds of a group.
 func (v *Vault) Load(g unit.Group) (boot accord.Boot, snap *Snapshot, err error) {
-	get := func(k []byte, into any) error {
-		b, err := v.db.Get(k, nil)
-		if errors.Is(err, leveldb.ErrNotFound) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		return cbor.Unmarshal(b, into)
-	}
 	var head headRow
-	if err := get(key(g, 'h', 0), &head); err != nil {
+	if err := v.get(key(g, 'h', 0), &head); err != nil {
 		return boot, nil, unit.Err("read head", "disk", err)
 	}
-	var s Snapshot
-	if err := get(key(g, 's', 0), &s); err != nil {
+	var sh snapHead
+	if err := v.get(key(g, 'S', 0), &sh); err != nil {
 		return boot, nil, unit.Err("read snapshot", "disk", err)
 	}
+	s := Snapshot{Slot: sh.Slot, Eras: sh.Eras}
+	for n := uint32(0); n < sh.Rows; n++ {
+		row, err := v.db.Get(key(g, 's', unit.Slot(sh.Gen)<<32|unit.Slot(n)), nil)
+		if err != nil {
+			return boot, nil, unit.Err("read snapshot", "disk", err)
+		}
+		s.State = append(s.State, row...)
+	}
+	if uint64(len(s.State)) != sh.Bytes {
+		return boot, nil, unit.Errf("read snapshot", "disk", "%d bytes, its head says %d", len(s.State), sh.Bytes)
+	}
 	boot.Promised, boot.Commit, boot.Base, boot.Eras = head.Promised, head.Commit, s.Slot, s.Eras
 	if s.Slot > boot.Commit {
 		boot.Commit = s.Slot
--- a/internal/voice/calls.go
+++ b/internal/voice/calls.go
@@ -25,6 +25,7 @@
 	sent   unit.Millis
 	tries  int
 	queued bool
+	urgent bool // of a space above the lowest level
 	nudged bool // forwarded once more on the second path
 }
 
@@ -55,7 +56,7 @@
 		wait = unit.Millis(sp.GuardMs) / 2
 	}
 	c.calls++
-	d.call(now, &call{c: c, topic: w.topic, seq: w.seq, end: now + wait}, id,
+	d.call(now, &call{c: c, urgent: d.config.Urgent(sp), topic: w.topic, seq: w.seq, end: now + wait}, id,
 		tale.Command{Verb: tale.Publish, Topic: w.topic, Client: c.client, Seq: w.seq, Body: w.body, Edge: d.self.Addr, Keep: keep})
 }
 
@@ -81,42 +82,54 @@
 
 // forward sends what is queued to the leaders, in the order it came.
 func (d *Daemon) forward(now unit.Millis) {
-	spare := map[unit.Group]*trace.Propose{}
+	type way struct {
+		group  unit.Group
+		spare  bool
+		urgent bool
+	}
+	out := map[way][]*call{}
 	for _, x := range d.calls {
-		if lead := d.leads[x.group]; x.tries > 0 && !x.nudged && !x.queued && now-x.sent >= d.b.nudge && lead.Node != "" {
+		if x.tries > 0 && !x.nudged && !x.queued && now-x.sent >= d.b.nudge {
 			x.nudged = true
-			if spare[x.group] == nil {
-				spare[x.group] = &trace.Propose{Group: x.group, Again: true}
-			}
-			spare[x.group].Reqs = append(spare[x.group].Reqs, x.req)
+			out[way{x.group, true, x.urgent}] = append(out[way{x.group, true, x.urgent}], x)
 		}
 	}
-	for g, p := range spare {
-		sort.Slice(p.Reqs, func(i, j int) bool { return d.calls[p.Reqs[i].ID].order < d.calls[p.Reqs[j].ID].order })
-		d.hub.Spare(d.leads[g].Node).Send(trace.KindPropose, p)
-	}
 	for g, q := range d.outq {
-		lead, ok := d.leads[g]
-		if !ok || len(q) == 0 {
+		if _, ok := d.leads[g]; !ok {
 			continue
 		}
-		sort.Slice(q, func(i, j int) bool { return q[i].order < q[j].order })
-		p := trace.Propose{Group: g}
 		for _, x := range q {
 			x.queued = false
-			if d.calls[x.req.ID] != x {
-				continue
+			if d.calls[x.req.ID] == x {
+				x.sent = now
+				x.tries++
+				out[way{g, false, x.urgent}] = append(out[way{g, false, x.urgent}], x)
 			}
-			x.sent = now
-			x.tries++
-			p.Again = p.Again || x.tries > 1
-			p.Reqs = append(p.Reqs, x.req)
 		}
 		d.outq[g] = q[:0]
-		if len(p.Reqs) > 0 {
-			d.hub.Send(lead.Node, trace.KindPropose, p)
+	}
+	for w, q := range out {
+		sort.Slice(q, func(i, j int) bool { return q[i].order < q[j].order })
+		p := trace.Propose{Group: w.group, Urgent: w.urgent, Again: w.spare}
+		for _, x := range q {
+			p.Reqs = append(p.Reqs, x.req)
+			p.Again = p.Again || x.tries > 1
+		}
+		l := d.hub.To(d.leads[w.group].Node)
+		if w.spare {
+			l = d.hub.Spare(d.leads[w.group].Node)
 		}
+		l.Send(trace.KindPropose, p)
+	}
+}
+
+// forwards counts the copies of a call that were sent to leaders. Only when the
+// one copy there is was turned away is it sure that the call never runs.
+func (c *call) forwards() int {
+	if c.nudged {
+		return c.tries + 1
 	}
+	return c.tries
 }
 
 // again forwards every open call of a group once more, in the old order: the
@@ -164,7 +177,7 @@
 		if c == nil {
 			continue
 		}
-		if x.Full && c.tries == 1 && c.c != nil {
+		if x.Full && c.forwards() == 1 && c.c != nil {
 			// the only forward was turned away: it has not run and never will
 			delete(d.calls, id)
 			c.c.calls--
