--- a/cmd/flux/main.go
+++ b/cmd/flux/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -58,7 +59,7 @@
 		if err != nil {
 			return err
 		}
-		ground.Wait(context.Background(), func() {
+		ground.Wait(context.Background(), path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() {
 			if s := ground.Reread(path); s != nil {
 				d.Hup(s)
 			}
--- a/cmd/norm/main.go
+++ b/cmd/norm/main.go
@@ -44,7 +44,7 @@
 			if err != nil {
 				return err
 			}
-			ground.Wait(context.Background(), func() { ground.Reread(path) })
+			ground.Wait(context.Background(), path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() { ground.Reread(path) })
 			unit.Log("stopping", "node", set.Name)
 			d.Stop()
 			shut()
--- a/internal/edict/state.go
+++ b/internal/edict/state.go
@@ -299,6 +299,7 @@
 		n.Empty = old.Empty && n.Disk == old.Disk
 		*old = n
 	} else {
+		s.forget()
 		s.Nodes = append(s.Nodes, n)
 		sort.Slice(s.Nodes, func(i, j int) bool { return s.Nodes[i].Addr < s.Nodes[j].Addr })
 	}
@@ -308,6 +309,25 @@
 	return true
 }
 
+// keepGone is how many processes that are gone stay known; edges come and go
+// under ever new addresses.
+const keepGone = 512
+
+// forget drops an edge that is gone once too many are known.
+func (s *State) forget() {
+	gone, first := 0, -1
+	for i, n := range s.Nodes {
+		if n.Gone && n.Duty == rule.Edge {
+			if gone++; first < 0 {
+				first = i
+			}
+		}
+	}
+	if gone > keepGone {
+		s.Nodes = append(s.Nodes[:first:first], s.Nodes[first+1:]...)
+	}
+}
+
 // seat gives an enrolled store its place: in the stead of its own lost disk, or
 // as the follower of a zone that has none.
 func (s *State) seat(n rule.Node) {
--- a/internal/edict/state_test.go
+++ b/internal/edict/state_test.go
@@ -181,3 +181,23 @@
 		t.Fatal("a report of an older epoch was taken")
 	}
 }
+
+func TestMachinesGoneAreForgotten(t *testing.T) {
+	p := &play{}
+	for i := 0; i < 2*keepGone; i++ {
+		n := rule.Node{Duty: rule.Edge, Addr: unit.Node(fmt.Sprintf("10.%d.%d.1:1", i/200, i%200)), Life: 1}
+		p.do(t, Command{Verb: Enroll, Node: n})
+		if i%100 != 0 {
+			p.do(t, Command{Verb: Leave, Node: n})
+		}
+	}
+	live := 0
+	for _, n := range p.Nodes {
+		if !n.Gone {
+			live++
+		}
+	}
+	if len(p.Nodes) > keepGone+live+1 || live != (2*keepGone+99)/100 {
+		t.Fatalf("%d known, %d live", len(p.Nodes), live)
+	}
+}
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -79,8 +79,12 @@
 	return nil
 }
 
-// Wait calls hup at each SIGHUP, and returns at SIGTERM or SIGINT.
-func Wait(ctx context.Context, hup func()) {
+// Wait calls hup at each SIGHUP and when the settings file at path changed
+// without one, and returns at SIGTERM or SIGINT.
+func Wait(ctx context.Context, path string, look time.Duration, hup func()) {
+	t := time.NewTicker(look)
+	defer t.Stop()
+	stamp := stampOf(path)
 	c := make(chan os.Signal, 4)
 	signal.Notify(c, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(c)
@@ -90,7 +94,13 @@
 			if s != syscall.SIGHUP {
 				return
 			}
+			stamp = stampOf(path)
 			hup()
+		case <-t.C:
+			if now := stampOf(path); now != stamp {
+				stamp = now
+				hup()
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -114,3 +124,15 @@
 		do(func() { w.Heard(n, life, unit.Steady()) })
 	})
 }
+
+type stamp struct {
+	at   time.Time
+	size int64
+}
+
+func stampOf(path string) (s stamp) {
+	if i, err := os.Stat(path); err == nil {
+		s = stamp{i.ModTime(), i.Size()}
+	}
+	return s
+}
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -86,3 +86,54 @@
 		}
 	}
 }
+
+// TestSnapshotCutShort: a snapshot larger than a row, and then one that a crash
+// cut short at each of its rows: the whole one holds, and so do the entries.
+func TestSnapshotCutShort(t *testing.T) {
+	big := func(fill byte, n int) []byte {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = fill + byte(i%7)
+		}
+		return b
+	}
+	for rows := uint32(0); rows <= 3; rows++ {
+		dir := t.TempDir()
+		v, err := Open(dir, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		save(t, v, 0, entry(1, 5, "a"), entry(2, 5, "b"), entry(3, 5, "c"))
+		done := make(chan error, 1)
+		first := Snapshot{Slot: 1, State: big('a', 2*snapRow+17)}
+		v.SaveSnapshot(0, first, func(err error) { done <- err })
+		save(t, v, 0, entry(4, 5, "d")) // records pass a snapshot that is being written
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		j := job{snap: &Snapshot{Slot: 3, State: big('k', 2*snapRow+99)}}
+		for n := uint32(0); n < rows; n++ {
+			if over, err := v.snapRow(j, n); over || err != nil {
+				t.Fatal(over, err)
+			}
+		}
+		v.Close()
+		if v, err = Open(dir, false); err != nil {
+			t.Fatal(err)
+		}
+		boot, snap, err := v.Load(0)
+		if err != nil || snap == nil || snap.Slot != 1 || string(snap.State) != string(first.State) || len(boot.Entries) != 3 {
+			t.Fatalf("after %d rows: %v, %d entries", rows, err, len(boot.Entries))
+		}
+		// the next whole one takes over, and drops what it covers
+		v.SaveSnapshot(0, *j.snap, func(err error) { done <- err })
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		boot, snap, err = v.Load(0)
+		if err != nil || snap.Slot != 3 || string(snap.State) != string(j.snap.State) || len(boot.Entries) != 1 || boot.Entries[0].Slot != 4 {
+			t.Fatalf("the next one: %v %+v", err, boot.Entries)
+		}
+		v.Close()
+	}
+}
--- a/internal/voice/calls_test.go
+++ b/internal/voice/calls_test.go
@@ -1,10 +1,12 @@
 package voice
 
 import (
+	"net"
 	"strings"
 	"testing"
 
 	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/trace"
 	"oxbowdeck/internal/unit"
 )
@@ -37,3 +39,38 @@
 		}
 	}
 }
+
+// TestClientsThatCostTooMuch: one that does not read is cut off at its bound and
+// the next one is served; one that falls silent is dropped.
+func TestClientsThatCostTooMuch(t *testing.T) {
+	d := &Daemon{conns: map[uint64]*conn{}, topics: map[unit.Topic]*topic{}, calls: map[accord.ID]*call{}, counts: map[uint64]*census{},
+		reqs: map[uint64]*sub{}, norm: &rule.Client{}, b: bounds{out: 1000, silence: 50, joinWait: 1 << 30}}
+	add := func(id uint64) *conn {
+		a, b := net.Pipe()
+		t.Cleanup(func() { a.Close(); b.Close() })
+		c := newConn(d, id, a)
+		d.conns[id] = c
+		return c
+	}
+	deaf, good := add(1), add(2)
+	for i := 0; i < 30; i++ {
+		deaf.put(make([]byte, 100))
+		deaf.flush()
+		good.put([]byte("ALIVE\r\n"))
+		good.flush()
+	}
+	if d.conns[1] != nil || !deaf.dead {
+		t.Fatal("a client that does not read is still there")
+	}
+	if d.conns[2] == nil || len(good.out) != 30*7 {
+		t.Fatal("another client paid for it")
+	}
+	d.sweep(good.heard + 49)
+	if d.conns[2] == nil {
+		t.Fatal("dropped before its time")
+	}
+	d.sweep(good.heard + 51)
+	if d.conns[2] != nil {
+		t.Fatal("a silent client is still there")
+	}
+}
