--- a/cmd/norm/tools.go
+++ b/cmd/norm/tools.go
@@ -242,15 +242,14 @@
 }
 
 func model() *cobra.Command {
-	// the fixed and per-byte costs were measured on the first sites' storage
-	// machines: processor time of the leaders over requests and instances
+	// the processor costs are assumed, not fitted: give your own with the flags
 	m := edict.Model{Replicas: 3, Mbps: 600, Latency: 0.9, Sync: 5, Request: 290, Answer: 16,
 		CliByte: 0.00002, CliFixed: 0.06, RepByte: 0.00003, RepFixed: 0.12, Exec: 0.02, RatePerSec: 150}
 	var largest int
 	var asJSON bool
 	c := &cobra.Command{Use: "model", Short: "WND and BSZ from the paper's model", Args: cobra.NoArgs,
 		Long: "The model of section 4 of the source paper (LAN case), with the disk's sync added to an instance's latency.\n" +
-			"Choose the largest batch whose fill time and instance time the aims allow; wnd is the window for it.",
+			"The processor costs are assumptions until you give measured ones. Choose the largest batch whose fill time and instance time the aims allow; wnd is the window for it.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if m.Replicas < 1 || m.Mbps <= 0 || m.Request <= 0 || m.Latency < 0 || m.Sync < 0 || largest < 1 || largest > 1<<16 {
 				return fmt.Errorf("replicas, mbps, request-bytes and largest must be above 0, latencies not below")
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -53,8 +53,8 @@
 	flow   trace.Flow
 }
 
-// Conf gives a shard group's bounds. The defaults were measured on the first
-// sites' machines; docs/design.md has the figures.
+// Conf gives a shard group's bounds. docs/design.md tells which defaults were
+// chosen by measurement, and which were not varied yet.
 func Conf(set *ground.Settings, g unit.Group, self accord.Member) accord.Conf {
 	return accord.Conf{
 		Group: g, Self: self,
