Simpler: one row reader in the vault, the edge's accept loop as the links' is

The edge asked its own actor whether it was closing, which could wait for ever once the actor had stopped; since its listener is closed at the end, the closed error says so, as in lane. The vault read rows in two places. Removed: a queue accessor, a bound and a clock that nothing used any more.

--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -32,9 +32,6 @@
 	}
 }
 
-// Box is the queue itself, for callers that must not wait for ever.
-func (a *Actor) Box() chan<- func() { return a.box }
-
 // Stop ends Run.
 func (a *Actor) Stop() { close(a.quit) }
 
--- a/internal/unit/unit.go
+++ b/internal/unit/unit.go
@@ -75,11 +75,9 @@
 	return Group(h.Sum32() % uint32(groups))
 }
 
-// Now is the time of day; Steady never goes back.
-func Now() Millis { return Millis(time.Now().UnixMilli()) }
-
 var began = time.Now()
 
+// Steady is this process's own clock; it never goes back.
 func Steady() Millis { return Millis(time.Since(began) / time.Millisecond) }
 
 func (m Millis) Span() time.Duration { return time.Duration(m) * time.Millisecond }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -160,7 +160,7 @@
 // and drops what the head makes needless.
 func (v *Vault) snapRow(j job, n uint32) (done bool, err error) {
 	var old snapHead
-	if err := v.get(key(j.group, 'S', 0), &old); err != nil {
+	if _, err := v.get(key(j.group, 'S', 0), &old); err != nil {
 		return false, err
 	}
 	gen := old.Gen + 1
@@ -182,15 +182,16 @@
 	return true, v.drop(key(j.group, 'e', 0), key(j.group, 'e', j.snap.Slot+1))
 }
 
-func (v *Vault) get(k []byte, into any) error {
+// get reads a row; false when there is none.
+func (v *Vault) get(k []byte, into any) (bool, error) {
 	b, err := v.db.Get(k, nil)
 	if errors.Is(err, leveldb.ErrNotFound) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
-	return cbor.Unmarshal(b, into)
+	return true, cbor.Unmarshal(b, into)
 }
 
 func put(b *leveldb.Batch, j job) {
@@ -250,11 +251,11 @@
 // Load reads what the disk holds of a group.
 func (v *Vault) Load(g unit.Group) (boot accord.Boot, snap *Snapshot, err error) {
 	var head headRow
-	if err := v.get(key(g, 'h', 0), &head); err != nil {
+	if _, err := v.get(key(g, 'h', 0), &head); err != nil {
 		return boot, nil, unit.Err("read head", "disk", err)
 	}
 	var sh snapHead
-	if err := v.get(key(g, 'S', 0), &sh); err != nil {
+	if _, err := v.get(key(g, 'S', 0), &sh); err != nil {
 		return boot, nil, unit.Err("read snapshot", "disk", err)
 	}
 	s := Snapshot{Slot: sh.Slot, Eras: sh.Eras}
@@ -302,14 +303,8 @@
 
 // Get reads a row; false when there is none.
 func (v *Vault) Get(name string, into any) (bool, error) {
-	b, err := v.db.Get([]byte("m"+name), nil)
-	if errors.Is(err, leveldb.ErrNotFound) {
-		return false, nil
-	}
-	if err != nil {
-		return false, unit.Err("read "+name, "disk", err)
-	}
-	return true, unit.Err("decode "+name, "disk", cbor.Unmarshal(b, into))
+	found, err := v.get([]byte("m"+name), into)
+	return found, unit.Err("read "+name, "disk", err)
 }
 
 // Groups lists the groups the disk holds anything of.
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -1,6 +1,7 @@
 package voice
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -57,17 +58,16 @@
 
 // bounds of an edge, all from the settings.
 type bounds struct {
-	conns     int
-	out       int // bytes waiting for one client
-	calls     int // publishes under way
-	perConn   int // of one client
-	silence   unit.Millis
-	resend    unit.Millis
-	nudge     unit.Millis // a call without an outcome goes again on the second path
-	quiet     unit.Millis // silence of the replica followed
-	margin    unit.Millis // before a route's time-out a doubtful publish is given up
-	joinWait  unit.Millis
-	liveAfter unit.Millis
+	conns    int
+	out      int // bytes waiting for one client
+	calls    int // publishes under way
+	perConn  int // of one client
+	silence  unit.Millis
+	resend   unit.Millis
+	nudge    unit.Millis // a call without an outcome goes again on the second path
+	quiet    unit.Millis // silence of the replica followed
+	margin   unit.Millis // before a route's time-out a doubtful publish is given up
+	joinWait unit.Millis
 }
 
 // Start serves clients at the front address.
@@ -115,10 +115,7 @@
 	for {
 		c, err := d.ln.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
-			}
-			if d.closed() {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			time.Sleep(20 * time.Millisecond)
@@ -138,16 +135,6 @@
 	}
 }
 
-func (d *Daemon) closed() bool {
-	done := make(chan bool, 1)
-	select {
-	case d.actor.Box() <- func() { done <- d.leaving }:
-		return <-done
-	case <-time.After(time.Second):
-		return true
-	}
-}
-
 // take handles one message of a client.
 func (d *Daemon) take(c *conn, w word) {
 	now := unit.Steady()
