Engine: a leader needs the membership to come as well; the replaced neither vote nor lead

Cause, read off the code: a membership change that exchanges one member for another lets a majority of the old one and a majority of the new one miss each other. A new leader that met the change undecided asked the old members alone. Now a candidate needs a majority of every membership that undecided values it saw would bring into force; one that was replaced and knows less than those it asks is not answered, and steps down when it learns of it. A leader asks all replicas how far they are every few beats, so it knows who is there and level. One change at a time, also while undecided.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -113,14 +113,16 @@
 	seen     map[unit.Num]unit.Millis
 	fed      map[unit.Node]sent // what a replica that lags was last given
 	seatNext []Member
-	courses  map[unit.Num]*course   // leader: what each replica has yet to answer
-	nudgedAt unit.Millis            // follower: when it last asked on the second path
-	levels   map[unit.Num]unit.Slot // leader: what each member said it holds
-	seated   unit.Slot              // the newest membership came into force here
-	told     unit.Slot              // decided, by the leader's last word
-	clock    unit.Millis            // the highest decided time
-	ledAt    unit.Millis            // when this leader's duty began, by its own steady clock
-	ledClock unit.Millis            // the decided time it began at
+	courses  map[unit.Num]*course     // leader: what each replica has yet to answer
+	nudgedAt unit.Millis              // follower: when it last asked on the second path
+	levels   map[unit.Num]unit.Slot   // leader: what each member said it holds
+	sounded  map[unit.Num]unit.Millis // leader: when each was last asked how far it is
+	seating  unit.Slot                // leader: the last instance that holds a membership
+	seated   unit.Slot                // the newest membership came into force here
+	told     unit.Slot                // decided, by the leader's last word
+	clock    unit.Millis              // the highest decided time
+	ledAt    unit.Millis              // when this leader's duty began, by its own steady clock
+	ledClock unit.Millis              // the decided time it began at
 }
 
 // New starts a replica from what its disk holds.
@@ -343,6 +345,9 @@
 	c.seen[m.From] = now
 	switch m.Kind {
 	case Canvass:
+		if c.stranger(m.From, m.Commit) {
+			return
+		}
 		ok := m.Ballot >= c.promised && c.role != Leader && now >= c.heardAt+c.conf.Patience-c.conf.Impatience
 		if m.Ballot < c.promised {
 			c.send(from, Msg{Kind: Nack, Ballot: c.promised, Commit: c.commit})
--- a/internal/accord/core_test.go
+++ b/internal/accord/core_test.go
@@ -425,3 +425,57 @@
 		t.Fatal("no feed once the first may be lost")
 	}
 }
+
+// TestNewLeaderAsksTheMembershipToCome: an undecided value that changes the
+// membership may have been decided below; its members must promise as well.
+func TestNewLeaderAsksTheMembershipToCome(t *testing.T) {
+	next := []Member{three[0], three[1], {Num: 4, Node: "d"}}
+	c := replica(1, three, Boot{Entries: []Entry{{Slot: 1, Ballot: unit.MakeBallot(1, 2), Val: encode(Value{Seats: next})}}})
+	c.Tick(200)
+	c.Take(201, "c", Msg{Kind: Favor, From: 3, Ballot: c.Promised(), Yes: true})
+	e := c.Drain()
+	c.Synced(202, e.Token)
+	c.Drain()
+	c.Take(203, "c", Msg{Kind: Promise, From: 3, Ballot: c.Promised()})
+	if c.Role() == Leader {
+		t.Fatal("leads without a promise of the membership to come")
+	}
+	if n, _ := kinds(c.Drain(), Prepare); n != 2 {
+		t.Fatalf("%d members asked, want those two that have not promised", n)
+	}
+	c.Take(204, "d", Msg{Kind: Promise, From: 4, Ballot: c.Promised()})
+	if c.Role() != Leader {
+		t.Fatal("does not lead, with a majority of both")
+	}
+}
+
+// TestReplacedNeitherVotesNorLeads: one that was replaced, and comes back with
+// all it had, is not followed, and steps down when it learns of it.
+func TestReplacedNeitherVotesNorLeads(t *testing.T) {
+	now := []Member{three[0], three[1], {Num: 4, Node: "d"}}
+	c := replica(2, now, Boot{Base: 10, Commit: 10})
+	c.Take(1000, "c", Msg{Kind: Canvass, From: 3, Commit: 5})
+	c.Take(1001, "c", Msg{Kind: Prepare, From: 3, Ballot: unit.MakeBallot(9, 3), Slot: 6})
+	e := c.Drain()
+	if n, _ := kinds(e, Favor); n != 0 || len(e.Saves) != 0 {
+		t.Fatal("one that was replaced is favoured, or promised to")
+	}
+	c.Take(1002, "d", Msg{Kind: Canvass, From: 4, Commit: 10})
+	if n, m := kinds(c.Drain(), Favor); n != 1 || !m.Yes {
+		t.Fatal("a member of the membership in force is not favoured")
+	}
+	old := replica(3, three, Boot{})
+	old.Tick(1000)
+	old.Take(1001, "a", Msg{Kind: Favor, From: 1, Ballot: old.Promised(), Yes: true})
+	e = old.Drain()
+	old.Synced(1002, e.Token)
+	var told []Entry
+	for s := unit.Slot(1); s <= 4; s++ {
+		told = append(told, Entry{Slot: s, Decided: true})
+	}
+	told[0].Val = encode(Value{Seats: now})
+	old.Take(1003, "a", Msg{Kind: Promise, From: 1, Ballot: old.Promised(), Commit: 4, Entries: told})
+	if old.Role() != Follower {
+		t.Fatalf("role %d: one that was replaced goes on", old.Role())
+	}
+}
--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -28,6 +28,35 @@
 	return true
 }
 
+// memberships are those that undecided values held here, or offered by others,
+// would bring into force. A lower epoch may have decided one of them and gone on
+// under it, so a candidate needs a majority of each as well.
+func (c *Core) memberships() (out [][]Member) {
+	for _, e := range append(append([]Entry(nil), c.offered...), c.tail(c.commit+1)...) {
+		if e.Slot <= c.commit {
+			continue
+		}
+		if v, err := decode(e.Val); err == nil && len(v.Seats) > 0 {
+			out = append(out, v.Seats)
+		}
+	}
+	return out
+}
+
+// stranger tells whether a replica that asks to lead has no part in any
+// membership known here, and knows less than this replica does: it was replaced.
+func (c *Core) stranger(n unit.Num, commit unit.Slot) bool {
+	if commit >= c.commit {
+		return false
+	}
+	for _, e := range c.eras {
+		if has(e.Seats, n) {
+			return false
+		}
+	}
+	return true
+}
+
 const never = unit.Millis(1) << 60
 
 // askAt is when a replica that hears no leader next tries to become it.
@@ -91,7 +120,15 @@
 	c.last = c.commit
 	c.promised = unit.MakeBallot(c.promised.Round()+1, c.conf.Self.Num)
 	var ms []Envelope
-	for _, m := range c.peers(true, false) {
+	to := c.peers(true, false)
+	for _, seats := range c.memberships() {
+		for _, m := range seats {
+			if m.Node != c.conf.Self.Node && !Holds(to, m.Node) {
+				to = append(to, m)
+			}
+		}
+	}
+	for _, m := range to {
 		ms = append(ms, c.envelope(m.Node, Msg{Kind: Prepare, Ballot: c.promised, Slot: c.commit + 1}))
 	}
 	c.save(Record{}, wait{msgs: ms, bal: c.promised, vow: true})
@@ -115,6 +152,9 @@
 }
 
 func (c *Core) prepare(now unit.Millis, from unit.Node, m Msg) {
+	if c.stranger(m.From, m.Slot-1) {
+		return
+	}
 	if m.Ballot <= c.promised {
 		c.send(from, Msg{Kind: Nack, Ballot: c.promised, Commit: c.commit})
 		return
@@ -148,9 +188,24 @@
 	c.advance(now)
 	c.offered = append(c.offered, m.Entries...)
 	c.voices[m.From] = true
+	if !c.voter() {
+		c.stepDown(now) // replaced meanwhile: it leads no more
+		return
+	}
 	if !c.carried(c.voices) {
 		return
 	}
+	for _, seats := range c.memberships() {
+		if majority(seats, c.voices) {
+			continue
+		}
+		for _, x := range seats {
+			if !c.voices[x.Num] && x.Node != c.conf.Self.Node {
+				c.send(x.Node, Msg{Kind: Prepare, Ballot: c.promised, Slot: c.commit + 1})
+			}
+		}
+		return
+	}
 	// Phase 1 is over: repeat every undecided instance under the new epoch,
 	// the value of the highest epoch for each, and no-ops where there is none.
 	best := map[unit.Slot]Entry{}
@@ -170,13 +225,18 @@
 	c.ledAt, c.ledClock = now, c.clock
 	c.taken = map[ID]bool{}
 	c.levels = map[unit.Num]unit.Slot{}
+	c.sounded = map[unit.Num]unit.Millis{}
 	c.courses = map[unit.Num]*course{}
 	c.seated = c.commit + 1 // what others hold is not known to a new leader
 	c.leader, c.leadNode = c.promised, c.conf.Self.Node
 	c.next = c.commit + 1
 	c.repeats = nil
+	c.seating = 0
 	for s := c.commit + 1; s <= top; s++ {
 		c.repeats = append(c.repeats, Entry{Slot: s, Val: best[s].Val})
+		if v, err := decode(best[s].Val); err == nil && len(v.Seats) > 0 {
+			c.seating = s
+		}
 	}
 	c.lanes, c.behind = [2]lane{}, map[string]int{}
 	c.yielding = false
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -125,7 +125,7 @@
 	if c.role != Leader || c.yielding {
 		return ErrNotLeader
 	}
-	if len(c.eras) > 1 || c.seatNext != nil {
+	if len(c.eras) > 1 || c.seatNext != nil || c.seating > c.commit {
 		return ErrFull // one change at a time
 	}
 	c.seatNext = seats
@@ -163,7 +163,7 @@
 			c.repeats = c.repeats[1:]
 		case c.seatNext != nil:
 			v = encode(Value{Seats: c.seatNext})
-			c.seatNext = nil
+			c.seatNext, c.seating = nil, c.next
 		case c.ready() != nil:
 			q := c.ready()
 			v = q.closed[0].val
@@ -232,8 +232,37 @@
 func (c *Core) beat(now unit.Millis) {
 	c.beatAt, c.toldAt = now, c.commit
 	for _, m := range c.peers(true, true) {
-		c.send(m.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: !c.Settled()})
+		sound := now-c.sounded[m.Num] >= soundEvery*c.conf.Beat
+		if sound {
+			c.sounded[m.Num] = now
+		}
+		c.send(m.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: sound || !c.Settled()})
+	}
+}
+
+// soundEvery so many beats a leader asks each replica how far it is, so that it
+// knows who is there and who is level.
+const soundEvery = 4
+
+// Silent is how long this leader has not heard a replica, counted from the
+// beginning of its duty at the most.
+func (c *Core) Silent(now unit.Millis, n unit.Num) unit.Millis {
+	if c.role != Leader || n == c.conf.Self.Num {
+		return 0
 	}
+	return now - max(c.seen[n], c.ledAt)
+}
+
+// Heard tells whether a replica answered this leader within a while.
+func (c *Core) Heard(now unit.Millis, n unit.Num, within unit.Millis) bool {
+	at, ok := c.seen[n]
+	return ok && now-at <= within
+}
+
+// Level tells whether a replica holds nearly all that is decided: so much that
+// the log in memory brings it the rest.
+func (c *Core) Level(n unit.Num) bool {
+	return c.role == Leader && c.levels[n] > 0 && c.levels[n]+unit.Slot(64*c.conf.Wnd) >= c.commit
 }
 
 // Pending is how many instances are undecided at this leader, and the closed
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -36,12 +36,16 @@
 	SnapAt   int
 	Sync     unit.Millis  // a disk's sync takes up to this long
 	Reckless bool         // troubles strike however many nodes are down already
+	Grow     int          // the group is to grow to so many voters, one at a time
 	Log      func(string) // each step, if wanted
 }
 
 // All troubles a run may draw.
 var All = []string{"crash", "power", "cut", "slow", "wipe", "drain"}
 
+// Moves is what changes memberships, among what changes leaders.
+var Moves = []string{"swap", "swap", "crash", "cut", "power", "drain"}
+
 // Storm is what only durability is promised under: more strike at once than
 // the group can serve through.
 var Storm = []string{"power", "power", "dark", "split", "drain", "wipe"}
@@ -135,6 +139,8 @@
 	want    []accord.Member // the membership wanted
 	nextNum unit.Num
 	healed  bool
+	joins   unit.Node // takes the seat of leaves, once it is level
+	leaves  unit.Node
 
 	chosen  map[unit.Slot][]byte
 	digests map[unit.Slot][]byte
@@ -150,8 +156,9 @@
 	onTop  map[int64]int64
 	putSeq uint64
 
-	Decided, Acked, Refused, Elections, Configs int
-	leadSeen                                    map[unit.Ballot]bool
+	Decided, Acked, Refused, Elections, Configs, Swaps int
+
+	leadSeen map[unit.Ballot]bool
 }
 
 type key struct {
@@ -231,6 +238,14 @@
 	w.wake(n)
 }
 
+func (w *World) relearn() {
+	for _, x := range w.nodes {
+		if x.up {
+			w.learners(x)
+		}
+	}
+}
+
 func (w *World) learners(n *node) {
 	var all []accord.Member
 	for _, x := range w.nodes {
@@ -670,12 +685,21 @@
 		w.wipe(n)
 		w.after(for_, func() {
 			w.start(n)
-			for _, x := range w.nodes {
-				if x.up {
-					w.learners(x)
-				}
-			}
+			w.relearn()
 		})
+	case "swap": // it is gone for long, and an empty one comes at another address in its stead
+		if w.joins != "" || !accord.Holds(w.want, n.member.Node) || !w.calm() {
+			return
+		}
+		w.stop(n)
+		w.nextNum++
+		x := &node{member: accord.Member{Num: w.nextNum, Node: unit.Node(fmt.Sprintf("n%d", len(w.nodes)))},
+			disk: &disk{entries: map[unit.Slot]accord.Entry{}}, skew: unit.Millis(w.rng.Intn(1000000)),
+			state: tale.New(w.plan.Bounds), norm: &edict.State{}}
+		w.nodes = append(w.nodes, x)
+		w.joins, w.leaves = x.member.Node, n.member.Node
+		w.after(unit.Millis(w.rng.Intn(300)), func() { w.start(x); w.relearn() })
+		w.after(2*for_, func() { w.start(n); w.relearn() }) // and comes back as it was: it has no part any more
 	case "drain":
 		n.core.Yield(w.clock(n))
 		w.flush(n)
@@ -729,6 +753,11 @@
 // reseat is the control plane's part: the leader is asked for the membership
 // wanted until it is in force.
 func (w *World) reseat() {
+	for _, n := range w.nodes {
+		if n.up && n.core.Role() == accord.Leader && n.core.Settled() && accord.Same(n.core.Seats(), w.want) {
+			w.plans(n)
+		}
+	}
 	for _, n := range w.nodes {
 		if n.up && n.core.Role() == accord.Leader && !accord.Same(n.core.Seats(), w.want) {
 			n.core.Reseat(w.clock(n), append([]accord.Member(nil), w.want...))
@@ -741,6 +770,26 @@
 	w.after(200, w.reseat)
 }
 
+// plans changes the membership wanted by one member: a newcomer that is level.
+func (w *World) plans(lead *node) {
+	if x := w.find(w.joins); x != nil && x.up && lead.core.Level(x.member.Num) {
+		for i := range w.want {
+			if w.want[i].Node == w.leaves {
+				w.want[i] = x.member
+				w.Swaps++
+			}
+		}
+		w.joins, w.leaves = "", ""
+		return
+	}
+	for _, x := range w.nodes {
+		if len(w.want) < w.plan.Grow && x.up && !accord.Holds(w.want, x.member.Node) && lead.core.Level(x.member.Num) {
+			w.want = append(w.want, x.member)
+			return
+		}
+	}
+}
+
 func (w *World) stop(n *node) {
 	n.up = false
 	n.life++
--- a/internal/maze/maze_test.go
+++ b/internal/maze/maze_test.go
@@ -79,6 +79,38 @@
 	})
 }
 
+// TestMembersReplaced: voters go for good and newcomers take their seats, while
+// leaders change; those replaced come back and must neither vote nor lead.
+func TestMembersReplaced(t *testing.T) {
+	swaps := 0
+	seeds(t, 30, func(p Plan) Plan {
+		p.Seed += 5000
+		p.Troubles, p.Learners, p.Every = Moves, 0, 250
+		return p
+	})
+	for s := int64(5001); s <= 5005; s++ {
+		p := plan(s)
+		p.Troubles, p.Learners, p.Every = Moves, 0, 250
+		w := New(p)
+		if err := w.Run(); err != nil {
+			t.Fatal(err)
+		}
+		swaps += w.Swaps
+	}
+	if swaps < 5 {
+		t.Fatalf("%d voters were replaced", swaps)
+	}
+}
+
+// TestGrowth: three founders grow to five voters, one at a time.
+func TestGrowth(t *testing.T) {
+	seeds(t, 10, func(p Plan) Plan {
+		p.Seed += 6000
+		p.Learners, p.Grow = 2, 5
+		return p
+	})
+}
+
 // TestStormOnce holds the seeds that once found a fault: 54, a decided mark on
 // disk without the entry it spoke of; 417, a leader that counted bytes of
 // instances decided behind its back and stopped proposing.
