--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -30,6 +30,7 @@
 	sentAt  unit.Millis
 	pending bool        // proposed by this leader, undecided
 	since   unit.Millis // a follower holds it since
+	began   unit.Millis // its batch was opened then, at this leader
 }
 
 type wait struct {
@@ -38,6 +39,7 @@
 	self  []unit.Slot // own acceptances that become votes once synced
 	bal   unit.Ballot
 	vow   bool // own promise becomes a vote once synced
+	at    unit.Millis
 }
 
 // mark is what was decided when a token was given out.
@@ -60,6 +62,7 @@
 type batch struct {
 	val    []byte
 	urgent []string
+	openAt unit.Millis
 }
 
 func (q *lane) busy() bool { return len(q.open)+len(q.closed) > 0 }
@@ -68,7 +71,7 @@
 	if len(q.open) == 0 {
 		return
 	}
-	b := batch{val: encode(Value{Stamp: q.time, Reqs: q.open}), urgent: q.urgent}
+	b := batch{val: encode(Value{Stamp: q.time, Reqs: q.open}), urgent: q.urgent, openAt: q.openAt}
 	q.closed = append(q.closed, b)
 	q.bytes += len(b.val)
 	q.open, q.size, q.urgent = nil, 0, nil
@@ -118,6 +121,8 @@
 	levels   map[unit.Num]unit.Slot   // leader: what each member said it holds
 	sounded  map[unit.Num]unit.Millis // leader: when each was last asked how far it is
 	seating  unit.Slot                // leader: the last instance that holds a membership
+	lag      unit.Millis              // leader: a batch's usual time from its opening to its decision, in eighths
+	now      unit.Millis              // as of the last tick
 	seated   unit.Slot                // the newest membership came into force here
 	told     unit.Slot                // decided, by the leader's last word
 	clock    unit.Millis              // the highest decided time
@@ -234,6 +239,7 @@
 
 func (c *Core) save(r Record, w wait) {
 	r.Commit, r.Promised = c.firm, c.promised
+	w.at = c.now
 	c.eff.Saves = append(c.eff.Saves, r)
 	c.waits = append(c.waits, w)
 }
@@ -287,8 +293,10 @@
 
 // Tick lets time pass.
 func (c *Core) Tick(now unit.Millis) {
+	c.now = now
 	switch c.role {
 	case Leader:
+		c.relent(now)
 		for i := range c.lanes {
 			if q := &c.lanes[i]; len(q.open) > 0 && now-q.openAt >= c.conf.Delta {
 				q.shut()
--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -224,6 +224,7 @@
 	c.role = Leader
 	c.ledAt, c.ledClock = now, c.clock
 	c.taken = map[ID]bool{}
+	c.lag = 0
 	c.levels = map[unit.Num]unit.Slot{}
 	c.sounded = map[unit.Num]unit.Millis{}
 	c.courses = map[unit.Num]*course{}
@@ -278,6 +279,34 @@
 	c.send(first.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: true})
 }
 
+// relent gives the duty to the member that answers soonest, when this leader is
+// itself what is slow: its batches take long though a majority is there, or its
+// disk has not synced for long. Not before it has led for a while, so that a
+// group that is pressed as a whole does not change leaders all the time.
+func (c *Core) relent(now unit.Millis) {
+	if c.conf.Slow == 0 || c.yielding || c.draining || now-c.ledAt < 10*c.conf.Patience {
+		return
+	}
+	hung := len(c.waits) > 0 && now-c.waits[0].at > 3*c.conf.Slow
+	if c.lag/8 < c.conf.Slow && !hung {
+		return
+	}
+	least := never
+	for _, m := range c.Seats() {
+		k := c.courses[m.Num]
+		if m.Num != c.conf.Self.Num && k != nil && c.Heard(now, m.Num, 2*c.conf.Patience) && k.took < least && len(k.open) <= 2*c.conf.Wnd {
+			least, c.heir = k.took, m.Node
+		}
+	}
+	if c.heir == "" {
+		return
+	}
+	c.lag = 0
+	c.shut()
+	c.yielding = true
+	c.pump(now)
+}
+
 func (c *Core) handOver(now unit.Millis) {
 	heir := c.heir
 	best := unit.Millis(-1)
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -73,6 +73,7 @@
 	e.acks[n] = true
 	if majority(c.seatsAt(s), e.acks) {
 		e.chosen, e.pending = true, false
+		c.lag += now - e.began - c.lag/8
 		c.advance(now)
 	}
 }
@@ -157,6 +158,7 @@
 	}
 	for c.next <= c.commit+unit.Slot(c.conf.Wnd) {
 		var v []byte
+		began := now
 		switch {
 		case len(c.repeats) > 0:
 			v = c.repeats[0].Val
@@ -176,6 +178,7 @@
 					delete(c.behind, o)
 				}
 			}
+			began = q.closed[0].openAt
 			q.closed = q.closed[1:]
 			q.bytes -= len(v)
 		case len(c.eras) > 1 && c.next <= c.eras[len(c.eras)-1].From:
@@ -193,7 +196,7 @@
 		if e := c.log[s]; e != nil && e.chosen {
 			continue
 		}
-		c.log[s] = &slot{bal: c.leader, val: v, pending: true, acks: map[unit.Num]bool{}, sentAt: now}
+		c.log[s] = &slot{bal: c.leader, val: v, pending: true, acks: map[unit.Num]bool{}, sentAt: now, began: began}
 		for _, m := range c.peers(true, true) {
 			c.send(m.Node, Msg{Kind: Accept, Ballot: c.leader, Slot: s, Commit: c.commit, Val: v})
 			k := c.courses[m.Num]
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -159,6 +159,7 @@
 	FeedBytes  int         // most bytes in one Feed
 	Impatience unit.Millis // a reset connection leaves this much patience
 	Nudge      unit.Millis // an answer later than this is asked for on the second path
+	Slow       unit.Millis // a leader whose batches usually take longer gives the duty up; 0: never
 }
 
 // Boot is what the disk (or a snapshot) says at start.
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -79,9 +79,12 @@
 	group   unit.Group
 	logged  int // bytes applied since the last snapshot
 	saving  bool
-	tail    []applied                 // what the engine holds of the decided log
-	held    int                       // its bytes
-	given   map[unit.Node]unit.Millis // until when a peer gets no other snapshot
+	tail    []applied           // what the engine holds of the decided log
+	held    int                 // its bytes
+	given   map[unit.Node]*gift // snapshots on their way to peers
+	last    image               // the newest one, for whoever else needs one now
+	coming  *arrival            // one on its way here
+	eras    []accord.Era        // its memberships
 	wake    unit.Millis
 	lead    unit.Ballot
 }
@@ -100,12 +103,6 @@
 	Failed   func(error)
 }
 
-type snapFrame struct {
-	_     struct{} `cbor:",toarray"`
-	Group unit.Group
-	Snap  vault.Snapshot
-}
-
 // Open starts a group's replica from the disk. genesis is the membership the
 // group was founded with, used when the disk knows of no later one.
 func (ch *Choir) Open(conf accord.Conf, genesis []accord.Member, m Machine) (*Part, error) {
@@ -122,7 +119,7 @@
 		boot.Eras = []accord.Era{{From: 0, Seats: genesis}}
 	}
 	boot.Clock = m.Clock()
-	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group, given: map[unit.Node]unit.Millis{}}
+	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group, given: map[unit.Node]*gift{}}
 	ch.Parts[conf.Group] = p
 	ch.flush(p)
 	return p, nil
@@ -143,6 +140,9 @@
 			p.Core.Tick(now)
 		}
 		ch.flush(p)
+		if w := ch.give(now, p); w < wait {
+			wait = w
+		}
 		if w := p.Core.NextWake() - now; w < wait {
 			wait = w
 		}
@@ -211,13 +211,8 @@
 	}
 }
 
-func (ch *Choir) image(p *Part) (vault.Snapshot, error) {
-	b, err := p.Machine.Save()
-	return vault.Snapshot{Slot: p.Core.Commit(), Eras: p.Core.Eras(), State: b}, err
-}
-
 func (ch *Choir) snapshot(p *Part) {
-	s, err := ch.image(p)
+	s, err := p.image()
 	if err != nil {
 		ch.Failed(unit.Err("snapshot", "", err))
 		return
@@ -236,23 +231,6 @@
 	ch.Vault.Compact()
 }
 
-// sendSnap gives a peer the state. It asks again while that is on its way; a
-// second one would only press a peer that lags because it is pressed.
-func (ch *Choir) sendSnap(p *Part, n unit.Node) {
-	now := unit.Steady()
-	if now < p.given[n] {
-		return
-	}
-	s, err := ch.image(p)
-	if err != nil {
-		unit.Log("snapshot-failed", "group", p.group, "err", err)
-		return
-	}
-	p.given[n] = now + 1000 + unit.Millis(len(s.State)>>13) // 8 KiB a millisecond
-	unit.Log("snapshot-sent", "group", p.group, "peer", n, "slot", s.Slot, "bytes", len(s.State))
-	ch.Hub.Send(n, ch.SnapKind, snapFrame{Group: p.group, Snap: s})
-}
-
 // Frame takes a frame from a peer if it is the engine's; run on the actor.
 func (ch *Choir) Frame(from unit.Node, k lane.Kind, b []byte) bool {
 	switch k {
@@ -263,25 +241,9 @@
 			ch.flush(p)
 		}
 	case ch.SnapKind:
-		f, ok := lane.Get[snapFrame](b)
-		p := ch.Parts[f.Group]
-		if !ok || p == nil || f.Snap.Slot <= p.Core.Commit() {
-			return true
-		}
-		if err := p.Machine.Load(f.Snap.State); err != nil {
-			unit.Log("snapshot-refused", "peer", from, "err", err)
-			return true
+		if f, ok := lane.Get[snapPart](b); ok {
+			ch.part(from, f)
 		}
-		p.Core.Install(unit.Steady(), f.Snap.Slot, f.Snap.Eras, p.Machine.Clock())
-		unit.Log("snapshot-taken", "group", f.Group, "peer", from, "slot", f.Snap.Slot)
-		p.saving, p.logged = true, 0
-		ch.Vault.SaveSnapshot(f.Group, f.Snap, func() {
-			ch.Actor.Do(func() {
-				p.saving = false
-				p.Core.Firm()
-			})
-		})
-		ch.flush(p)
 	default:
 		return false
 	}
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -81,6 +81,7 @@
 		FeedBytes:  set.Int("feed_kb", 256) << 10,
 		Impatience: unit.Millis(set.Int("impatience_ms", 30)),
 		Nudge:      unit.Millis(set.Int("nudge_ms", 30)),
+		Slow:       unit.Millis(set.Int("slow_ms", 150)),
 	}
 }
 
@@ -360,6 +361,10 @@
 			if x, ok := lane.Get[trace.Unwatch](b); ok && f != nil {
 				d.unwatch(f, x.Topic)
 			}
+		case trace.KindPing:
+			if x, ok := lane.Get[trace.Ping](b); ok {
+				l.Send(trace.KindPong, x)
+			}
 		case trace.KindCount:
 			if x, ok := lane.Get[trace.Count](b); ok && f != nil {
 				if s := d.shardOf(x.Topic); s != nil {
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -60,13 +60,23 @@
 	ln     net.Listener
 }
 
-// path is one of the two links to a peer: when a lost packet holds the first
-// up, what is urgent goes again on the second.
+// path is one of the links to a peer.
 type path struct {
-	to    unit.Node
-	spare bool
+	to  unit.Node
+	way way
 }
 
+// way is what a link is for. When a lost packet holds the first up, what is
+// urgent goes again on the spare one; what is large goes on the bulk one, so that
+// nothing waits behind it, and is not deflated: that would cost more than the way.
+type way uint8
+
+const (
+	first way = iota
+	spare
+	bulk
+)
+
 // failure holds dials back: each one that fails doubles the pause, with jitter.
 type failure struct {
 	pause time.Duration
@@ -130,7 +140,7 @@
 	mu    sync.Mutex
 	peer  Hello
 	to    unit.Node // set on links this side dials
-	spare bool
+	way   way
 	conn  net.Conn
 	buf   []byte
 	ready chan struct{}
@@ -155,7 +165,10 @@
 func (h *Hub) To(n unit.Node) *Link { return h.link(path{to: n}) }
 
 // Spare gives the second link to a node.
-func (h *Hub) Spare(n unit.Node) *Link { return h.link(path{n, true}) }
+func (h *Hub) Spare(n unit.Node) *Link { return h.link(path{n, spare}) }
+
+// Bulk gives the link for what is large.
+func (h *Hub) Bulk(n unit.Node) *Link { return h.link(path{n, bulk}) }
 
 func (h *Hub) link(p path) *Link {
 	n := p.to
@@ -164,7 +177,7 @@
 	if l := h.out[p]; l != nil {
 		return l
 	}
-	l := &Link{hub: h, to: n, spare: p.spare, ready: make(chan struct{}, 1)}
+	l := &Link{hub: h, to: n, way: p.way, ready: make(chan struct{}, 1)}
 	if h.closed || time.Now().Before(h.failed[n].until) {
 		l.dead = true
 		return l
@@ -234,7 +247,7 @@
 	h.mu.Lock()
 	delete(h.failed, l.to)
 	h.mu.Unlock()
-	pack := h.Far != nil && h.Far(l.to)
+	pack := l.way != bulk && h.Far != nil && h.Far(l.to)
 	l.mu.Lock()
 	if l.dead {
 		l.mu.Unlock()
@@ -294,19 +307,19 @@
 			return
 		}
 	}
-	var spare []byte
+	var old []byte
 	var deflate *flate.Writer
 	var packed bytes.Buffer // one write a turn: the deflater itself writes in scraps
 	for {
 		l.mu.Lock()
 		b, dead, pack := l.buf, l.dead, l.pack
-		l.buf = spare[:0]
+		l.buf = old[:0]
 		l.mu.Unlock()
 		if dead {
 			return
 		}
 		if len(b) == 0 {
-			spare = b
+			old = b
 			<-l.ready
 			continue
 		}
@@ -326,9 +339,9 @@
 			l.Drop()
 			return
 		}
-		spare = b
-		if cap(spare) > 64<<10 {
-			spare = nil
+		old = b
+		if cap(old) > 64<<10 {
+			old = nil
 		}
 	}
 }
@@ -392,7 +405,7 @@
 		c.Close()
 	}
 	l.hub.mu.Lock()
-	if p := (path{l.to, l.spare}); l.to != "" && l.hub.out[p] == l {
+	if p := (path{l.to, l.way}); l.to != "" && l.hub.out[p] == l {
 		delete(l.hub.out, p)
 	}
 	delete(l.hub.in, l)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -27,6 +27,8 @@
 	KindBye      lane.Kind = 31
 	KindKnown    lane.Kind = 32 // outcomes, off the flow
 	KindBeat     lane.Kind = 33
+	KindPing     lane.Kind = 34
+	KindPong     lane.Kind = 35
 )
 
 // Follow asks a replica for the decided order of a group; Followed answers.
@@ -142,6 +144,13 @@
 	N   int
 }
 
+// Ping goes through a replica's queue of commands and comes back as Pong: how
+// late the replica is.
+type Ping struct {
+	_  struct{}    `cbor:",toarray"`
+	At unit.Millis // by the edge's steady clock
+}
+
 // Bye tells that the sender ends the following of some groups on purpose.
 type Bye struct {
 	_      struct{} `cbor:",toarray"`
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -40,7 +40,8 @@
 	order  uint64
 	dirty  []*conn
 
-	ties    []*tie      // by shard
+	ties    []*tie // by shard
+	pingAt  unit.Millis
 	toldAt  unit.Millis // when a replica followed last had heard the control plane
 	reqSeq  uint64
 	leaving bool
@@ -60,6 +61,7 @@
 	resend   unit.Millis
 	nudge    unit.Millis // a call without an outcome goes again on the second path
 	quiet    unit.Millis // silence of the replica followed
+	late     unit.Millis // a replica that answers later is too slow
 	hope     unit.Millis // without a replica for longer, calls are given up at once
 	margin   unit.Millis // before a route's time-out a doubtful publish is given up
 	joinWait unit.Millis
@@ -75,7 +77,7 @@
 		calls: set.Int("edge_calls", 20000), perConn: set.Int("client_calls", 256),
 		silence: unit.Millis(set.PingS * 3200), resend: unit.Millis(set.Int("forward_again_ms", 400)),
 		nudge: unit.Millis(set.Int("forward_spare_ms", 60)),
-		quiet: unit.Millis(set.Int("replica_quiet_ms", 500)), hope: unit.Millis(set.Int("hope_ms", 300)), margin: unit.Millis(set.Int("give_up_margin_ms", 200)),
+		quiet: unit.Millis(set.Int("replica_quiet_ms", 500)), hope: unit.Millis(set.Int("hope_ms", 300)), late: unit.Millis(set.Int("replica_late_ms", 120)), margin: unit.Millis(set.Int("give_up_margin_ms", 200)),
 		joinWait: unit.Millis(set.Int("join_wait_ms", 900)),
 	}
 	addr := set.Inner(ground.PortEdge)
@@ -249,6 +251,10 @@
 			if x, ok := lane.Get[trace.Lead](b); ok {
 				d.lead(x)
 			}
+		case trace.KindPong:
+			if x, ok := lane.Get[trace.Ping](b); ok {
+				d.pong(now, l, x)
+			}
 		case trace.KindJoined:
 			if x, ok := lane.Get[trace.Joined](b); ok && l == d.cur(x.Topic) {
 				d.joined(x)
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -20,6 +20,7 @@
 	heardAt  unit.Millis
 	lostAt   unit.Millis // when there last was no replica any more
 	stale    int         // beats in a row that called it stale
+	late     int         // pings in a row that came back late
 	betterAt unit.Millis
 	avoid    map[unit.Node]unit.Millis
 }
@@ -125,6 +126,16 @@
 // watchTies turns from replicas that fell silent or stale, and back to the own
 // zone's when it can be followed.
 func (d *Daemon) watchTies(now unit.Millis) {
+	if now >= d.pingAt {
+		d.pingAt = now + d.b.quiet
+		asked := map[*lane.Link]bool{}
+		for _, x := range d.ties {
+			if x.cur != nil && !asked[x.cur] {
+				asked[x.cur] = true
+				x.cur.Send(trace.KindPing, trace.Ping{At: now})
+			}
+		}
+	}
 	for _, x := range d.ties {
 		if x.cur != nil && now-x.heardAt > d.b.quiet {
 			x.avoid[x.cur.Peer().Node] = now + 2000
@@ -137,7 +148,7 @@
 			x.betterAt = now + 1000
 			best, held := d.replicas(x.group), false
 			for _, r := range best {
-				held = held || r.Addr == x.cur.Peer().Node && r.Zone == d.self.Zone
+				held = held || r.Addr == x.cur.Peer().Node && r.Zone == d.self.Zone || r.Zone == d.self.Zone && x.avoid[r.Addr] > now
 			}
 			if !held && len(best) > 0 {
 				d.pick(now, x)
@@ -202,7 +213,7 @@
 	if x.cur != nil && x.cur != l {
 		x.cur.Send(trace.KindBye, trace.Bye{Groups: []unit.Group{x.group}})
 	}
-	x.cur, x.heardAt, x.stale = l, now, 0
+	x.cur, x.heardAt, x.stale, x.late = l, now, 0, 0
 	unit.Log("following", "group", x.group, "peer", l.Peer().Node)
 	for k, s := range d.reqs {
 		if d.group(s.t.name) == x.group {
@@ -265,6 +276,24 @@
 	}
 }
 
+// pong takes a replica's answer: one that answers late time and again works
+// through its queue too slowly to be followed while another can be.
+func (d *Daemon) pong(now unit.Millis, l *lane.Link, p trace.Ping) {
+	for _, x := range d.ties {
+		if x.cur != l {
+			continue
+		}
+		if now-p.At < d.b.late {
+			x.late = 0
+			continue
+		}
+		if x.late++; x.late >= 2 {
+			x.stale = 2
+			x.avoid[l.Peer().Node] = now + 3000
+		}
+	}
+}
+
 // hopeless tells whether a shard can be reached neither for a call nor for its
 // outcome, and has not been for a while: then calls are answered at once.
 func (d *Daemon) hopeless(now unit.Millis, x *tie) bool {
