--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -143,6 +143,9 @@
 			c.promised = e.Ballot
 		}
 	}
+	// nobody was heard in this life: if all of them begin, there is no leader to
+	// wait for; if one lives, its members will not favour this replica
+	c.heardAt = now - max(0, conf.Patience-3*conf.Impatience)
 	c.advance(now)
 	return c
 }
--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -288,6 +288,9 @@
 		return
 	}
 	hung := len(c.waits) > 0 && now-c.waits[0].at > 3*c.conf.Slow
+	if e := c.log[c.commit+1]; e != nil && e.pending && now-e.began > 2*c.conf.Slow && c.Fresh(now) {
+		hung = true // a majority was heard meanwhile
+	}
 	if c.lag/8 < c.conf.Slow && !hung {
 		return
 	}
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -166,6 +166,8 @@
 			l := ch.Hub.To(s.To)
 			if s.Spare {
 				l = ch.Hub.Spare(s.To)
+			} else if s.Msg.Kind == accord.Feed {
+				l = ch.Hub.Bulk(s.To)
 			}
 			l.Send(ch.Kind, s.Msg)
 		}
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -78,7 +78,7 @@
 		Patience:   unit.Millis(set.Int("patience_ms", 300)),
 		Stagger:    unit.Millis(set.Int("stagger_ms", 80)),
 		OpenBytes:  set.Int("open_kb", 2048) << 10,
-		FeedBytes:  set.Int("feed_kb", 256) << 10,
+		FeedBytes:  set.Int("feed_kb", 128) << 10,
 		Impatience: unit.Millis(set.Int("impatience_ms", 30)),
 		Nudge:      unit.Millis(set.Int("nudge_ms", 30)),
 		Slow:       unit.Millis(set.Int("slow_ms", 150)),
