--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -22,10 +22,10 @@
 	return lane.Bounds{
 		Queue:    s.Int("lane_queue_kb", 16<<10) << 10,
 		Frame:    s.Int("lane_frame_kb", 64<<10) << 10,
-		Dial:     time.Duration(s.Int("lane_dial_ms", 600)) * time.Millisecond,
+		Dial:     time.Duration(s.Int("lane_dial_ms", 250)) * time.Millisecond,
 		Silence:  time.Duration(s.Int("lane_silence_ms", 1500)) * time.Millisecond,
 		RetryMin: time.Duration(s.Int("lane_retry_ms", 20)) * time.Millisecond,
-		RetryMax: time.Duration(s.Int("lane_retry_max_ms", 400)) * time.Millisecond,
+		RetryMax: time.Duration(s.Int("lane_retry_max_ms", 250)) * time.Millisecond,
 	}
 }
 
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -124,7 +124,7 @@
 	d.ch = &choir.Choir{Actor: d.actor, Hub: d.hub, Vault: d.vault, Kind: trace.KindGroup, SnapKind: trace.KindSnap,
 		TailAt: set.Int("log_tail_kb", 6144) << 10, SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
-	d.pulse = unit.Millis(set.Int("pulse_ms", 150))
+	d.pulse = unit.Millis(set.Int("pulse_ms", 100))
 	d.hub.Far = d.norm.Far
 	var news rule.News
 	if found, err := d.vault.Get("news", &news); err != nil {
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -77,7 +77,7 @@
 		calls: set.Int("edge_calls", 20000), perConn: set.Int("client_calls", 256),
 		silence: unit.Millis(set.PingS * 3200), resend: unit.Millis(set.Int("forward_again_ms", 400)),
 		nudge: unit.Millis(set.Int("forward_spare_ms", 60)),
-		quiet: unit.Millis(set.Int("replica_quiet_ms", 500)), hope: unit.Millis(set.Int("hope_ms", 300)), late: unit.Millis(set.Int("replica_late_ms", 120)), margin: unit.Millis(set.Int("give_up_margin_ms", 200)),
+		quiet: unit.Millis(set.Int("replica_quiet_ms", 400)), hope: unit.Millis(set.Int("hope_ms", 300)), late: unit.Millis(set.Int("replica_late_ms", 120)), margin: unit.Millis(set.Int("give_up_margin_ms", 200)),
 		joinWait: unit.Millis(set.Int("join_wait_ms", 900)),
 	}
 	addr := set.Inner(ground.PortEdge)
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -297,5 +297,8 @@
 // hopeless tells whether a shard can be reached neither for a call nor for its
 // outcome, and has not been for a while: then calls are answered at once.
 func (d *Daemon) hopeless(now unit.Millis, x *tie) bool {
-	return x == nil || x.cur == nil && now-x.lostAt > d.b.hope
+	if x.cur != nil {
+		return now-x.heardAt > d.b.hope
+	}
+	return now-x.lostAt > d.b.hope
 }
