--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -344,7 +344,7 @@
 	}
 	for _, x := range d.calls {
 		switch {
-		case now >= x.end || x.c != nil && now-x.at > d.b.hope && d.hopeless(now, d.ties[x.group]):
+		case now >= x.end || x.c != nil && now-x.at > d.b.hope/6 && d.hopeless(now, d.ties[x.group]):
 			delete(d.calls, x.req.ID)
 			if x.c != nil {
 				x.c.calls--
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -300,5 +300,5 @@
 	if x.cur != nil {
 		return now-x.heardAt > d.b.hope
 	}
-	return now-x.lostAt > d.b.hope
+	return now-x.lostAt > d.b.hope/2
 }
