A silent voter no longer keeps norm's group from being mended

The decision is a function of its own, played in a test with every kind of loss; its cases fail with the old condition.

--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -569,65 +569,16 @@
 	}
 }
 
-// members sees to the group's own membership, one change at a time: a disk that
-// came back empty votes under its new number; a process that is level fills the
-// group up to 2·losses+1 voters, or takes the seat of one that left or has been
-// silent for long.
+// members sees to the group's own membership.
 func (d *Daemon) members(now unit.Millis) {
 	core := d.part.Core
-	if !core.Settled() {
-		return
-	}
-	seats := append([]accord.Member(nil), core.Seats()...)
-	zones := map[unit.Zone]int{}
-	vacant := -1
 	quiet := unit.Millis(d.set.Int("norm_replace_ms", 1500))
-	for i, m := range seats {
-		n := d.state.find(m.Node)
-		if n != nil && n.Duty == rule.Norm && n.Num != 0 && n.Num != m.Num {
-			if !n.Gone && core.Heard(now, n.Num, 1000) {
-				seats[i].Num = n.Num
-				d.reseat(now, seats, "renumbered", m.Node)
-				return
-			}
-			vacant = i
-		} else if m.Num != d.self.Num && (n != nil && n.Gone || core.Silent(now, m.Num) >= quiet) {
-			vacant = i
-		}
-		if n != nil {
-			zones[n.Zone]++
-		}
-	}
-	want := 2*d.set.Losses + 1
-	if vacant < 0 && len(seats) >= want {
-		return
-	}
-	var best *rule.Node
-	for i := range d.state.Nodes {
-		n := &d.state.Nodes[i]
-		if n.Duty != rule.Norm || n.Gone || n.Num == 0 || accord.Holds(seats, n.Addr) || !core.Level(n.Num) || !core.Heard(now, n.Num, 1000) {
-			continue
-		}
-		if best == nil || zones[n.Zone] < zones[best.Zone] {
-			best = n
-		}
-	}
-	if best == nil {
-		return
-	}
-	m := accord.Member{Num: best.Num, Node: best.Addr}
-	if vacant >= 0 {
-		old := seats[vacant].Node
-		seats[vacant] = m
-		d.reseat(now, seats, "replaced", old)
-		return
-	}
-	d.reseat(now, append(seats, m), "grown", m.Node)
-}
-
-func (d *Daemon) reseat(now unit.Millis, seats []accord.Member, why string, who unit.Node) {
-	if err := d.part.Core.Reseat(now, seats); err == nil {
-		unit.Log("norm-reseat", "seats", len(seats), "why", why, "node", who)
+	next, why, who := d.state.Members(core.Seats(), d.set.Losses, Ear{Self: d.self.Num, Settled: core.Settled(),
+		Heard:  func(n unit.Num) bool { return core.Heard(now, n, 1000) },
+		Silent: func(n unit.Num) bool { return core.Silent(now, n) >= quiet },
+		Level:  core.Level})
+	if next != nil && core.Reseat(now, next) == nil {
+		unit.Log("norm-reseat", "seats", len(next), "why", why, "node", who)
 	}
 }
 
