--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -206,5 +206,5 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 6 / 10)
 	}
-	debug.SetGCPercent(s.Int("gc_percent", 60))
+	debug.SetGCPercent(s.Int("gc_percent", 40))
 }
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -122,7 +122,7 @@
 	d.self = rule.Node{Name: set.Name, Duty: rule.Store, Zone: set.Zone, Addr: addr, Disk: disk, Life: unit.Life(rand.Uint64() >> 1)}
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
 	d.ch = &choir.Choir{Actor: d.actor, Hub: d.hub, Vault: d.vault, Kind: trace.KindGroup, SnapKind: trace.KindSnap,
-		TailAt: set.Int("log_tail_kb", 6144) << 10, SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
+		TailAt: set.Int("log_tail_kb", 2048) << 10, SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
 	d.pulse = unit.Millis(set.Int("pulse_ms", 100))
 	d.hub.Far = d.norm.Far
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -146,8 +147,12 @@
 	ready chan struct{}
 	dead  bool
 	pack  bool // deflate what is written
+	heard atomic.Int64
 }
 
+// Heard is when a frame was last read: not when whoever takes frames got to it.
+func (l *Link) Heard() unit.Millis { return unit.Millis(l.heard.Load()) }
+
 // Peer is who is at the other end.
 func (l *Link) Peer() Hello {
 	l.mu.Lock()
@@ -364,6 +369,7 @@
 		if _, err := io.ReadFull(r, head[:]); err != nil {
 			return
 		}
+		l.heard.Store(int64(unit.Steady()))
 		n := int(binary.BigEndian.Uint32(head[:]))
 		if n < 1 || n > l.hub.bounds.Frame {
 			unit.Log("frame-refused", "peer", l.Peer().Node, "bytes", n)
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -230,11 +230,6 @@
 	}
 	d.actor.Do(func() {
 		now := unit.Steady()
-		for _, x := range d.ties {
-			if x.cur == l {
-				x.heardAt = now
-			}
-		}
 		if d.norm.Frame(from, k, b, now) {
 			return
 		}
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -17,7 +17,7 @@
 	cur      *lane.Link // the replica followed
 	try      *lane.Link // the one being asked
 	tryAt    unit.Millis
-	heardAt  unit.Millis
+	begunAt  unit.Millis // the replica is followed since
 	lostAt   unit.Millis // when there last was no replica any more
 	stale    int         // beats in a row that called it stale
 	late     int         // pings in a row that came back late
@@ -25,6 +25,9 @@
 	avoid    map[unit.Node]unit.Millis
 }
 
+// silence is how long the replica followed was not heard.
+func (x *tie) silence(now unit.Millis) unit.Millis { return now - max(x.begunAt, x.cur.Heard()) }
+
 // shape makes the ties the news ask for.
 func (d *Daemon) shape(now unit.Millis) {
 	for g := len(d.ties); g < len(d.norm0().Shards); g++ {
@@ -137,7 +140,7 @@
 		}
 	}
 	for _, x := range d.ties {
-		if x.cur != nil && now-x.heardAt > d.b.quiet {
+		if x.cur != nil && x.silence(now) > d.b.quiet {
 			x.avoid[x.cur.Peer().Node] = now + 2000
 			x.cur.Drop() // down() turns to another, for all shards followed there
 			continue
@@ -213,7 +216,7 @@
 	if x.cur != nil && x.cur != l {
 		x.cur.Send(trace.KindBye, trace.Bye{Groups: []unit.Group{x.group}})
 	}
-	x.cur, x.heardAt, x.stale, x.late = l, now, 0, 0
+	x.cur, x.begunAt, x.stale, x.late = l, now, 0, 0
 	unit.Log("following", "group", x.group, "peer", l.Peer().Node)
 	for k, s := range d.reqs {
 		if d.group(s.t.name) == x.group {
@@ -298,7 +301,7 @@
 // outcome, and has not been for a while: then calls are answered at once.
 func (d *Daemon) hopeless(now unit.Millis, x *tie) bool {
 	if x.cur != nil {
-		return now-x.heardAt > d.b.hope
+		return x.silence(now) > d.b.hope
 	}
 	return now-x.lostAt > d.b.hope/2
 }
--- a/internal/voice/subs.go
+++ b/internal/voice/subs.go
@@ -194,12 +194,6 @@
 }
 
 func (d *Daemon) flow(l *lane.Link, x trace.Flow) {
-	now := unit.Steady()
-	for _, y := range d.ties {
-		if y.cur == l {
-			y.heardAt = now
-		}
-	}
 	for _, it := range x.Items {
 		if t := d.topics[it.Topic]; t != nil && d.cur(it.Topic) == l {
 			d.spread(t, it.Pos, it.Client, it.Seq, it.Body)
