--- a/internal/voice/calls_test.go
+++ b/internal/voice/calls_test.go
@@ -26,7 +26,7 @@
 		{"a second on the other path", 1, true, true, false},
 		{"forwarded to two leaders", 2, false, true, false},
 	} {
-		d := &Daemon{calls: map[accord.ID]*call{}}
+		d := &Daemon{calls: map[accord.ID]*call{}, doubts: map[accord.ID]unit.Millis{}}
 		cn := &conn{d: d, id: 1}
 		id := accord.ID{Origin: "ann", Seq: 7}
 		d.calls[id] = &call{req: accord.Request{ID: id}, topic: "a.x", seq: 7, c: cn, tries: c.tries, nudged: c.nudged, end: unit.Steady() + 1000}
@@ -40,6 +40,51 @@
 	}
 }
 
+// TestInTheDark: with no replica heard a call is answered soon, and promised
+// nothing; a number that was forwarded and given up is never promised not to run,
+// when it comes again and a full store turns it away, or no place is left for it.
+func TestInTheDark(t *testing.T) {
+	x := &tie{lostAt: 1000}
+	d := &Daemon{calls: map[accord.ID]*call{}, doubts: map[accord.ID]unit.Millis{}, outq: map[unit.Group][]*call{}, ties: []*tie{x},
+		norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 1)}}, config: &rule.Config{}, b: bounds{hope: 300, resend: 1 << 30, calls: 10, perConn: 10}}
+	cn := &conn{d: d, id: 1, client: "ann"}
+	say := func(now unit.Millis, seq unit.Seq) string {
+		cn.fresh = nil
+		d.publish(now, cn, word{verb: wPublish, topic: "a.x", seq: seq, body: []byte("body")}, &rule.Space{GuardMs: 1500})
+		return string(cn.fresh)
+	}
+	say(1000, 7)
+	d.calls[accord.ID{Origin: "ann", Seq: 7}].tries = 1
+	if d.giveUp(1140); len(d.calls) != 1 {
+		t.Fatal("given up before a replica was missed for long")
+	}
+	if d.giveUp(1310); !strings.Contains(string(cn.fresh), "7 UNKNOWN") {
+		t.Fatalf("answered %q", cn.fresh)
+	}
+	say(1310, 7)
+	if d.giveUp(1340); len(d.calls) != 1 {
+		t.Fatal("a new call was not given a moment")
+	}
+	if d.giveUp(1370); !strings.Contains(string(cn.fresh), "7 UNKNOWN") {
+		t.Fatalf("the same number again: answered %q", cn.fresh)
+	}
+	x.lostAt = 1 << 40 // a replica is there again
+	say(1400, 7)
+	d.calls[accord.ID{Origin: "ann", Seq: 7}].tries = 1
+	cn.fresh = nil
+	if d.denied(trace.Deny{Full: true, IDs: []accord.ID{{Origin: "ann", Seq: 7}}}); strings.Contains(string(cn.fresh), "RETRY") {
+		t.Fatal("promised that a number in doubt never runs")
+	}
+	d.b.calls = 0
+	d.calls = map[accord.ID]*call{}
+	if got := say(1500, 7); !strings.Contains(got, "UNKNOWN") {
+		t.Fatalf("no place for a number in doubt: answered %q", got)
+	}
+	if got := say(1500, 8); !strings.Contains(got, "RETRY") {
+		t.Fatalf("no place for a new number: answered %q", got)
+	}
+}
+
 // TestClientsThatCostTooMuch: one that does not read is cut off at its bound and
 // the next one is served; one that falls silent is dropped.
 func TestClientsThatCostTooMuch(t *testing.T) {
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -35,6 +35,7 @@
 	reqs   map[uint64]*sub // subscriptions and topics that wait for a Joined
 	counts map[uint64]*census
 	calls  map[accord.ID]*call
+	doubts map[accord.ID]unit.Millis // forwarded and given up, lately
 	outq   map[unit.Group][]*call
 	leads  map[unit.Group]trace.Lead
 	order  uint64
@@ -70,7 +71,7 @@
 // Start serves clients at the front address.
 func Start(set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(4096), config: &rule.Config{}, conns: map[uint64]*conn{},
-		topics: map[unit.Topic]*topic{}, reqs: map[uint64]*sub{}, counts: map[uint64]*census{}, calls: map[accord.ID]*call{},
+		topics: map[unit.Topic]*topic{}, reqs: map[uint64]*sub{}, counts: map[uint64]*census{}, calls: map[accord.ID]*call{}, doubts: map[accord.ID]unit.Millis{},
 		outq: map[unit.Group][]*call{}, leads: map[unit.Group]trace.Lead{}}
 	d.b = bounds{
 		conns: set.Int("edge_conns", max(64, (set.FDs-200)/2)), out: set.Int("client_out_kb", 512) << 10,
@@ -337,22 +338,7 @@
 			wait = 50
 		}
 	}
-	for _, x := range d.calls {
-		switch {
-		case now >= x.end || x.c != nil && now-x.at > d.b.hope/6 && d.hopeless(now, d.ties[x.group]):
-			delete(d.calls, x.req.ID)
-			if x.c != nil {
-				x.c.calls--
-				cause := cUnknown
-				if x.tries == 0 {
-					cause = cRetry
-				}
-				x.c.put(reject(nil, wPublish, x.topic, x.seq, cause))
-			}
-		case x.tries > 0 && !x.queued && now-x.sent >= d.b.resend:
-			d.queue(x)
-		}
-	}
+	d.giveUp(now)
 	d.forward(now)
 	if len(d.calls) > 0 || len(d.reqs) > 0 {
 		wait = min(wait, 30)
@@ -375,6 +361,50 @@
 	return max(wait, 1).Span()
 }
 
+// giveUp answers the calls whose time is over, and those nothing can be done for
+// now: no replica of their shard is heard. It forwards anew what got no outcome.
+func (d *Daemon) giveUp(now unit.Millis) {
+	for _, x := range d.calls {
+		dark := x.c != nil && now-x.at > d.b.hope/6 && d.hopeless(now, d.ties[x.group])
+		switch {
+		case dark || now >= x.end:
+			delete(d.calls, x.req.ID)
+			if x.c == nil {
+				continue
+			}
+			x.c.calls--
+			cause := cUnknown
+			if x.tries == 0 && !dark && d.unspoken(x.req.ID) {
+				cause = cRetry
+			}
+			d.doubt(now, x)
+			x.c.put(reject(nil, wPublish, x.topic, x.seq, cause))
+		case x.tries > 0 && !x.queued && now-x.sent >= d.b.resend:
+			d.queue(x)
+		}
+	}
+}
+
+// doubtFor is longer than any client repeats a number it got no answer to.
+const doubtFor = unit.Millis(30000)
+
+// mostDoubts bounds the numbers remembered as in doubt; past it all are.
+const mostDoubts = 50000
+
+// doubt remembers that a call was forwarded and given up: the same number, sent
+// again, must not be promised never to run.
+func (d *Daemon) doubt(now unit.Millis, x *call) {
+	if x.tries > 0 && len(d.doubts) < mostDoubts {
+		d.doubts[x.req.ID] = now
+	}
+}
+
+// unspoken tells whether no earlier try of a number was forwarded from here.
+func (d *Daemon) unspoken(id accord.ID) bool {
+	_, spoken := d.doubts[id]
+	return !spoken && len(d.doubts) < mostDoubts
+}
+
 // untold tells whether the news must be had from norm itself.
 func (d *Daemon) untold(now unit.Millis) bool {
 	return d.norm.News == nil || now-d.toldAt > 2*d.b.quiet || !d.norm.Listed()
@@ -411,6 +441,11 @@
 			x.c.put(reject(nil, wCensus, x.topic, 0, cRetry))
 		}
 	}
+	for id, at := range d.doubts {
+		if now-at > doubtFor {
+			delete(d.doubts, id)
+		}
+	}
 	for _, c := range d.conns {
 		if now-c.heard > d.b.silence {
 			c.end()
