An idle shard's follower counts as level; status names the control group's voters

Cause, found by a loopback test that replaces a control and a storage machine at other addresses: where nothing was decided yet, a follower that had said so was not taken for level, and the seats never moved.

--- a/cmd/norm/tools.go
+++ b/cmd/norm/tools.go
@@ -119,7 +119,7 @@
 				return unit.Err("status", args[0], err)
 			}
 			return show(cmd, asJSON, s, func(w io.Writer) {
-				fmt.Fprintf(w, "%s: release %d; control leader %s, epoch %d, decided to %d\n", s.Node, s.Release, s.Leader, s.Epoch, s.Commit)
+				fmt.Fprintf(w, "%s: release %d; control leader %s, epoch %d, decided to %d, voters %v\n", s.Node, s.Release, s.Leader, s.Epoch, s.Commit, s.Voters)
 				for i, sh := range s.Shards {
 					fmt.Fprintf(w, "shard %d: voters %s; in force %s by epoch %d; following %s\n", i, names(sh.Voters), names(sh.Seats), sh.Epoch.Round(), names(sh.Learners))
 				}
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -265,7 +265,8 @@
 // Level tells whether a replica holds nearly all that is decided: so much that
 // the log in memory brings it the rest.
 func (c *Core) Level(n unit.Num) bool {
-	return c.role == Leader && c.levels[n] > 0 && c.levels[n]+unit.Slot(64*c.conf.Wnd) >= c.commit
+	at, told := c.levels[n]
+	return c.role == Leader && told && at+unit.Slot(64*c.conf.Wnd) >= c.commit
 }
 
 // Pending is how many instances are undecided at this leader, and the closed
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -646,6 +646,7 @@
 	Leader  unit.Node    `json:"leader"`
 	Epoch   uint64       `json:"epoch"`
 	Commit  unit.Slot    `json:"commit"`
+	Voters  []unit.Node  `json:"voters"` // of the control group itself
 	Release int64        `json:"config_release"`
 	Nodes   []NodeStatus `json:"nodes"`
 	Shards  []rule.Shard `json:"shards"`
@@ -667,6 +668,9 @@
 		b, n := d.part.Core.Lead()
 		s = Status{Node: d.self.Name, Leader: n, Epoch: b.Round(), Commit: d.part.Core.Commit(), Release: d.state.Release,
 			Shards: append([]rule.Shard(nil), d.state.Shards...)}
+		for _, m := range d.part.Core.Seats() {
+			s.Voters = append(s.Voters, m.Node)
+		}
 		for _, n := range d.state.Nodes {
 			s.Nodes = append(s.Nodes, NodeStatus{n.Name, n.Duty.String(), n.Zone, n.Addr, n.Gone})
 		}
