Tuning names and bounds are checked by CUE; norm takes changed seeds over while it runs

norm re-read its settings and kept its old seeds. An unknown or out-of-bounds tuning.* is refused with one line naming field and reason. The planner and its test share what leaders would report.

--- a/cmd/norm/main.go
+++ b/cmd/norm/main.go
@@ -44,7 +44,11 @@
 			if err != nil {
 				return err
 			}
-			ground.Wait(context.Background(), path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() { ground.Reread(path) })
+			ground.Wait(context.Background(), path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() {
+				if s := ground.Reread(path); s != nil {
+					d.Hup(s)
+				}
+			})
 			unit.Log("stopping", "node", set.Name)
 			d.Stop()
 			shut()
--- a/internal/edict/moves_test.go
+++ b/internal/edict/moves_test.go
@@ -15,23 +15,7 @@
 func (p *play) settle(t *testing.T, silent map[unit.Node]bool, long bool) (steps int) {
 	t.Helper()
 	for ; steps < 200; steps++ {
-		reports := map[unit.Group]Report{}
-		for _, sh := range p.Shards {
-			r := Report{Vacant: rule.Vacant{Group: sh.Group, Epoch: 9}, Long: map[unit.Num]bool{}}
-			for _, m := range sh.Voters {
-				if silent[m.Node] {
-					r.Silent = append(r.Silent, m)
-					r.Long[m.Num] = long
-				}
-			}
-			for _, m := range sh.Learners {
-				if !silent[m.Node] {
-					r.Ready = append(r.Ready, m)
-				}
-			}
-			reports[sh.Group] = r
-		}
-		moves := p.Moves(reports)
+		moves := p.Moves(p.told(silent, long))
 		if len(moves) == 0 {
 			return steps
 		}
--- a/internal/edict/plan.go
+++ b/internal/edict/plan.go
@@ -96,6 +96,28 @@
 	To    unit.Node  `json:"to,omitempty"`
 }
 
+// told is what the shards' leaders would report, with some stores silent (for
+// long, or just now) and every other follower level.
+func (s *State) told(silent map[unit.Node]bool, long bool) map[unit.Group]Report {
+	reports := map[unit.Group]Report{}
+	for _, sh := range s.Shards {
+		r := Report{Vacant: rule.Vacant{Group: sh.Group, Epoch: sh.Epoch}, Long: map[unit.Num]bool{}}
+		for _, m := range sh.Voters {
+			if silent[m.Node] {
+				r.Silent = append(r.Silent, m)
+				r.Long[m.Num] = long
+			}
+		}
+		for _, m := range sh.Learners {
+			if !silent[m.Node] {
+				r.Ready = append(r.Ready, m)
+			}
+		}
+		reports[sh.Group] = r
+	}
+	return reports
+}
+
 // mostSteps ends a plan that would not come to rest.
 const mostSteps = 1000
 
@@ -103,23 +125,7 @@
 // some stores lost for long and every follower level in time.
 func (s *State) Play(lost map[unit.Node]bool) (out []Step) {
 	for len(out) < mostSteps {
-		reports := map[unit.Group]Report{}
-		for _, sh := range s.Shards {
-			r := Report{Vacant: rule.Vacant{Group: sh.Group, Epoch: sh.Epoch}, Long: map[unit.Num]bool{}}
-			for _, m := range sh.Voters {
-				if lost[m.Node] {
-					r.Silent = append(r.Silent, m)
-					r.Long[m.Num] = true
-				}
-			}
-			for _, m := range sh.Learners {
-				if !lost[m.Node] {
-					r.Ready = append(r.Ready, m)
-				}
-			}
-			reports[sh.Group] = r
-		}
-		moves := s.Moves(reports)
+		moves := s.Moves(s.told(lost, true))
 		if len(moves) == 0 {
 			break
 		}
--- a/internal/ground/settings.cue
+++ b/internal/ground/settings.cue
@@ -32,3 +32,56 @@
 }
 #Addr: =~"^[0-9.]+:[0-9]+$"
 #Port: int & >0 & <65536
+
+// What may be tuned (tuning.NAME), and within which bounds. A name that is not
+// here is a mistake, and refused.
+#Tuning: close({
+	shards?:            int & >=1 & <=200
+	wnd?:               int & >=1 & <=64
+	wnd_kb?:            int & >=64 & <=65536
+	bsz_kb?:            int & >=1 & <=4096
+	batch_ms?:          int & >=1 & <=1000
+	open_kb?:           int & >=64 & <=262144
+	beat_ms?:           int & >=10 & <=10000
+	patience_ms?:       int & >=50 & <=60000
+	stagger_ms?:        int & >=1 & <=10000
+	impatience_ms?:     int & >=1 & <=10000
+	nudge_ms?:          int & >=1 & <=10000
+	forward_spare_ms?:  int & >=1 & <=10000
+	slow_ms?:           int & >=20 & <=60000
+	silent_ms?:         int & >=300 & <=600000
+	replace_ms?:        int & >=300 & <=3600000
+	norm_replace_ms?:   int & >=300 & <=3600000
+	feed_kb?:           int & >=1 & <=16384
+	snapshot_kb?:       int & >=64 & <=1048576
+	log_tail_kb?:       int & >=64 & <=1048576
+	keep_slack_ms?:     int & >=1 & <=600000
+	live_keep_ms?:      int & >=1 & <=600000
+	marks?:             int & >=1 & <=10000000
+	topics?:            int & >=1 & <=10000000
+	edge_conns?:        int & >=1 & <=1000000
+	edge_calls?:        int & >=1 & <=1000000
+	client_calls?:      int & >=1 & <=100000
+	client_out_kb?:     int & >=1 & <=1048576
+	forward_again_ms?:  int & >=10 & <=60000
+	give_up_margin_ms?: int & >=1 & <=60000
+	join_wait_ms?:      int & >=10 & <=60000
+	pulse_ms?:          int & >=10 & <=10000
+	replica_quiet_ms?:  int & >=50 & <=60000
+	replica_late_ms?:   int & >=10 & <=60000
+	news_quiet_ms?:     int & >=100 & <=60000
+	hope_ms?:           int & >=50 & <=60000
+	lane_queue_kb?:     int & >=64 & <=1048576
+	lane_frame_kb?:     int & >=64 & <=1048576
+	lane_dial_ms?:      int & >=10 & <=60000
+	lane_silence_ms?:   int & >=100 & <=60000
+	lane_retry_ms?:     int & >=1 & <=60000
+	lane_retry_max_ms?: int & >=1 & <=60000
+	norm_batch_ms?:     int & >=1 & <=1000
+	norm_beat_ms?:      int & >=10 & <=10000
+	norm_patience_ms?:  int & >=50 & <=60000
+	control_wait_ms?:   int & >=10 & <=60000
+	config_kb?:         int & >=1 & <=65536
+	settings_look_s?:   int & >=1 & <=3600
+	gc_percent?:        int & >=5 & <=1000
+})
--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -29,35 +29,35 @@
 
 // Settings is the settings file. The tag is the field's name there.
 type Settings struct {
-	Name      string            `set:"node_name" json:"node_name"`
-	Role      string            `set:"role" json:"role"`
-	Class     string            `set:"machine_class" json:"machine_class"`
-	Serves    []string          `set:"served_roles" json:"served_roles"`
-	IP        string            `set:"ip_addr" json:"ip_addr"`
-	Zone      unit.Zone         `set:"avail_zone" json:"avail_zone"`
-	Region    string            `set:"region" json:"region"`
-	Front     string            `set:"listen_addrs.front" json:"listen_addrs_front"`
-	Ready     string            `set:"listen_addrs.readiness" json:"listen_addrs_readiness"`
-	Control   string            `set:"listen_addrs.control" json:"listen_addrs_control"`
-	Ports     []int             `set:"internal_ports" json:"internal_ports"`
-	Seeds     []string          `set:"seed_nodes" json:"seed_nodes"`
-	First     bool              `set:"initial_start" json:"initial_start"`
-	DataDir   string            `set:"data_dir" json:"data_dir"`
-	MemoryMB  int               `set:"limits.memory_mb" json:"limits_memory_mb"`
-	FDs       int               `set:"limits.fd_limit" json:"limits_fd_limit"`
-	DiskMB    int               `set:"limits.disk_mb" json:"limits_disk_mb"`
-	LinkMbps  float64           `set:"limits.link_mbps" json:"limits_link_mbps"`
-	BeatMs    int               `set:"beat_ms" json:"beat_ms"`
-	Losses    int               `set:"fault_tolerance.machines" json:"fault_tolerance_machines"`
-	ContactMs int               `set:"timing_bounds.contact_ms" json:"timing_bounds_contact_ms"`
-	AckMs     int               `set:"timing_bounds.ack_ms" json:"timing_bounds_ack_ms"`
-	ApplyMs   int               `set:"timing_bounds.config_apply_ms" json:"timing_bounds_config_apply_ms"`
-	DrainMs   int               `set:"timing_bounds.drain_ms" json:"timing_bounds_drain_ms"`
-	GraceS    float64           `set:"timing_bounds.grace_s" json:"timing_bounds_grace_s"`
-	PingS     float64           `set:"timing_bounds.ping_s" json:"timing_bounds_ping_s"`
-	RejoinS   float64           `set:"timing_bounds.rejoin_s" json:"timing_bounds_rejoin_s"`
-	ResendS   float64           `set:"timing_bounds.resend_s" json:"timing_bounds_resend_s"`
-	Extra     map[string]string `json:"-"` // tuning.* of this project
+	Name      string         `set:"node_name" json:"node_name"`
+	Role      string         `set:"role" json:"role"`
+	Class     string         `set:"machine_class" json:"machine_class"`
+	Serves    []string       `set:"served_roles" json:"served_roles"`
+	IP        string         `set:"ip_addr" json:"ip_addr"`
+	Zone      unit.Zone      `set:"avail_zone" json:"avail_zone"`
+	Region    string         `set:"region" json:"region"`
+	Front     string         `set:"listen_addrs.front" json:"listen_addrs_front"`
+	Ready     string         `set:"listen_addrs.readiness" json:"listen_addrs_readiness"`
+	Control   string         `set:"listen_addrs.control" json:"listen_addrs_control"`
+	Ports     []int          `set:"internal_ports" json:"internal_ports"`
+	Seeds     []string       `set:"seed_nodes" json:"seed_nodes"`
+	First     bool           `set:"initial_start" json:"initial_start"`
+	DataDir   string         `set:"data_dir" json:"data_dir"`
+	MemoryMB  int            `set:"limits.memory_mb" json:"limits_memory_mb"`
+	FDs       int            `set:"limits.fd_limit" json:"limits_fd_limit"`
+	DiskMB    int            `set:"limits.disk_mb" json:"limits_disk_mb"`
+	LinkMbps  float64        `set:"limits.link_mbps" json:"limits_link_mbps"`
+	BeatMs    int            `set:"beat_ms" json:"beat_ms"`
+	Losses    int            `set:"fault_tolerance.machines" json:"fault_tolerance_machines"`
+	ContactMs int            `set:"timing_bounds.contact_ms" json:"timing_bounds_contact_ms"`
+	AckMs     int            `set:"timing_bounds.ack_ms" json:"timing_bounds_ack_ms"`
+	ApplyMs   int            `set:"timing_bounds.config_apply_ms" json:"timing_bounds_config_apply_ms"`
+	DrainMs   int            `set:"timing_bounds.drain_ms" json:"timing_bounds_drain_ms"`
+	GraceS    float64        `set:"timing_bounds.grace_s" json:"timing_bounds_grace_s"`
+	PingS     float64        `set:"timing_bounds.ping_s" json:"timing_bounds_ping_s"`
+	RejoinS   float64        `set:"timing_bounds.rejoin_s" json:"timing_bounds_rejoin_s"`
+	ResendS   float64        `set:"timing_bounds.resend_s" json:"timing_bounds_resend_s"`
+	Extra     map[string]int `json:"-"` // tuning.* of this project
 }
 
 // Read reads and checks a settings file. Unknown fields are ignored.
@@ -72,7 +72,7 @@
 
 // Parse reads lines of a.b=value and checks them against the schema.
 func Parse(b []byte) (*Settings, error) {
-	s := &Settings{Extra: map[string]string{}}
+	s := &Settings{Extra: map[string]int{}}
 	fields := map[string]reflect.Value{}
 	v := reflect.ValueOf(s).Elem()
 	for i := 0; i < v.NumField(); i++ {
@@ -95,7 +95,11 @@
 				return nil, fmt.Errorf("line %d: field %s: %w", n, k, err)
 			}
 		} else if strings.HasPrefix(k, "tuning.") {
-			s.Extra[strings.TrimPrefix(k, "tuning.")] = val
+			x, err := strconv.Atoi(val)
+			if err != nil {
+				return nil, fmt.Errorf("line %d: field %s: %q is not a whole number", n, k, val)
+			}
+			s.Extra[strings.TrimPrefix(k, "tuning.")] = x
 		}
 	}
 	if err := sc.Err(); err != nil {
@@ -109,6 +113,12 @@
 	if err := want.Unify(ctx.Encode(s)).Validate(cue.Concrete(true)); err != nil {
 		return nil, FirstError(err)
 	}
+	if len(s.Extra) > 0 {
+		want := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Tuning"))
+		if err := want.Unify(ctx.Encode(s.Extra)).Validate(cue.Concrete(true)); err != nil {
+			return nil, fmt.Errorf("tuning: %w", FirstError(err))
+		}
+	}
 	return s, nil
 }
 
@@ -185,11 +195,8 @@
 
 // Int gives a tuning value: tuning.NAME of the settings file, else def.
 func (s *Settings) Int(name string, def int) int {
-	if v, ok := s.Extra[name]; ok {
-		if n, err := strconv.Atoi(v); err == nil && n > 0 {
-			return n
-		}
-		unit.Log("tuning-refused", "name", name, "value", v)
+	if n, ok := s.Extra[name]; ok {
+		return n
 	}
 	return def
 }
--- a/internal/ground/settings_test.go
+++ b/internal/ground/settings_test.go
@@ -48,6 +48,9 @@
 		"zero ping":       {"timing_bounds.ping_s=2", "timing_bounds.ping_s=0"},
 		"not a truth":     {"initial_start=true", "initial_start=perhaps"},
 		"line without =":  {"region=r", "region"},
+		"unknown tuning":  {"tuning.wnd=4", "tuning.wndd=4"},
+		"tuning too high": {"tuning.wnd=4", "tuning.wnd=4000"},
+		"tuning is text":  {"tuning.wnd=4", "tuning.wnd=many"},
 		"too many losses": {"fault_tolerance.machines=1", "fault_tolerance.machines=9"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c[0], c[1], 1)))
