A replica is ended only when the membership in force has done without it for 10 s

Read off the code: a store ended a replica 3 s after the news no longer named it, by its own view of the membership; a leader with older news could have brought its seat back meanwhile, under the number that had voted. It waits for the wanted membership to be reported in force, and leaders change memberships only while norm is heard.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -201,9 +201,6 @@
 	return false
 }
 
-// Voter tells whether this replica has a seat in the next instance's membership.
-func (c *Core) Voter() bool { return c.voter() }
-
 func (c *Core) voter() bool { return has(c.Seats(), c.conf.Self.Num) }
 
 // peers are all replicas but this one: voters of any era at hand, and learners.
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -186,8 +186,13 @@
 	return nil
 }
 
-// close ends the replicas this store is no longer to hold, once the group's own
-// membership has done without it for a while.
+// closeAfter is far longer than news may lag at a leader that changes seats.
+const closeAfter = unit.Millis(10000)
+
+// close ends the replicas this store is no longer to hold: once the membership
+// wanted, without it, is reported to be in force and has been for a while: each
+// of its members then holds all that was decided before. What this replica
+// accepted as a voter is needed until then.
 func (d *Daemon) close(now unit.Millis) {
 	for g, at := range d.idle {
 		p := d.ch.Parts[g]
@@ -195,7 +200,12 @@
 			delete(d.idle, g)
 			continue
 		}
-		if now-at < 3000 || !d.norm.Told(now) || p.Core.Role() != accord.Follower || p.Core.Voter() {
+		n := d.norm.News
+		if now-at < closeAfter || !d.norm.Told(now) || p.Core.Role() == accord.Leader || int(g) >= len(n.Shards) {
+			continue
+		}
+		if sh := n.Shards[g]; accord.Holds(sh.Seats, d.self.Addr) || !accord.Same(sh.Seats, sh.Voters) {
+			d.idle[g] = now
 			continue
 		}
 		unit.Log("replica-closed", "group", g)
@@ -562,6 +572,9 @@
 		if p.Core.Settled() {
 			p.Core.Cede(now)
 		}
+		if !d.norm.Told(now) {
+			continue // an old placement must not bring a seat back that was given up since
+		}
 		next := accord.Next(p.Core.Seats(), n.Shards[g].Voters, func(m unit.Num) bool { return p.Core.Heard(now, m, 1000) })
 		if next != nil && p.Core.Reseat(now, next) == nil {
 			unit.Log("reseat", "group", g, "seats", len(next))
