--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -177,14 +177,15 @@
 	case wPublish:
 		d.publish(now, c, w, sp)
 	case wCensus:
-		l := d.cur(w.topic)
-		if l == nil {
+		if len(d.counts) >= d.b.calls {
 			c.put(reject(nil, wCensus, w.topic, 0, cRetry))
 			return
 		}
 		d.reqSeq++
 		d.counts[d.reqSeq] = &census{c: c, topic: w.topic, at: now}
-		l.Send(trace.KindCount, trace.Count{Req: d.reqSeq, Topic: w.topic})
+		if l := d.cur(w.topic); l != nil { // else asked when one is followed
+			l.Send(trace.KindCount, trace.Count{Req: d.reqSeq, Topic: w.topic})
+		}
 	}
 }
 
@@ -436,7 +437,7 @@
 		}
 	}
 	for k, x := range d.counts {
-		if now-x.at > d.b.joinWait {
+		if now-x.at > 2*d.b.joinWait {
 			delete(d.counts, k)
 			x.c.put(reject(nil, wCensus, x.topic, 0, cRetry))
 		}
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -86,12 +86,6 @@
 	for _, t := range d.ours(x.group) {
 		t.on = false
 	}
-	for k, q := range d.counts {
-		if d.group(q.topic) == x.group {
-			delete(d.counts, k)
-			q.c.put(reject(nil, wCensus, q.topic, 0, cRetry))
-		}
-	}
 	x.tryAt = 0
 	d.pick(now, x)
 }
@@ -241,6 +235,11 @@
 			}
 		}
 	}
+	for k, q := range d.counts {
+		if d.group(q.topic) == x.group {
+			l.Send(trace.KindCount, trace.Count{Req: k, Topic: q.topic})
+		}
+	}
 	for _, c := range d.calls {
 		if c.group == x.group && c.tries > 0 {
 			d.queue(c) // its outcome may have passed by unseen
