--- a/internal/accord/core_test.go
+++ b/internal/accord/core_test.go
@@ -513,3 +513,33 @@
 		}
 	}
 }
+
+// TestHungDiskCedes: a leader whose own disk does not sync hands over, though its
+// followers' syncs decide everything in time.
+func TestHungDiskCedes(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		c := lead(t)
+		c.conf.Slow = 60
+		yields := 0
+		now := unit.Millis(300)
+		for i := uint64(1); now < 5000 && yields == 0; i++ {
+			c.Submit(now, req("x", i, 190), false)
+			c.Tick(now)
+			e := c.Drain()
+			if !hangs {
+				c.Synced(now, e.Token)
+			}
+			if n, m := kinds(e, Accept); n > 0 {
+				for _, f := range []unit.Num{2, 3} {
+					c.Take(now+5, unit.Node(rune('a'+f-1)), Msg{Kind: Accepted, From: f, Ballot: m.Ballot, Slot: m.Slot})
+				}
+			}
+			n, _ := kinds(c.Drain(), Yield)
+			yields += n
+			now += 30
+		}
+		if (yields == 1) != hangs {
+			t.Errorf("disk hangs: %v, hand-overs: %d", hangs, yields)
+		}
+	}
+}
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -85,7 +85,6 @@
 	last    image               // the newest one, for whoever else needs one now
 	coming  *arrival            // one on its way here
 	eras    []accord.Era        // its memberships
-	wake    unit.Millis
 	lead    unit.Ballot
 }
 
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -41,7 +41,6 @@
 	pulse     unit.Millis // how often followers hear that this replica lives
 	dutyAt    unit.Millis
 	roomAt    unit.Millis
-	mine      []rule.Shard                // as the disk remembers it
 	kept      unit.Slot                   // how new the news on the disk are
 	strange   map[tale.Holder]unit.Millis // seats of lives the news do not name
 	idle      map[unit.Group]unit.Millis  // replicas this store is no longer to hold
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -41,7 +41,7 @@
 }
 
 // All troubles a run may draw.
-var All = []string{"crash", "power", "cut", "slow", "wipe", "drain"}
+var All = []string{"crash", "power", "cut", "slow", "wipe", "drain", "freeze"}
 
 // Moves is what changes memberships, among what changes leaders.
 var Moves = []string{"swap", "swap", "crash", "cut", "power", "drain"}
@@ -121,6 +121,7 @@
 	up      bool
 	life    int
 	cut     bool
+	frozen  bool
 	slow    unit.Millis
 	bytes   int
 	release int64       // the highest configuration seen in this life
@@ -209,6 +210,15 @@
 	heap.Push(&w.queue, event{w.now + max(d, 0), w.seq, f})
 }
 
+// thawed runs what concerns a node, once it does not stand still.
+func (w *World) thawed(n *node, f func()) {
+	if n.frozen && n.up {
+		w.after(10, func() { w.thawed(n, f) })
+		return
+	}
+	f()
+}
+
 func (w *World) clock(n *node) unit.Millis { return w.now + n.skew }
 
 func (w *World) start(n *node) {
@@ -258,11 +268,13 @@
 	life := n.life
 	wait := min(max(n.core.NextWake()-w.clock(n), 1), 50)
 	w.after(wait, func() {
-		if n.up && n.life == life {
-			n.core.Tick(w.clock(n))
-			w.flush(n)
-			w.wake(n)
-		}
+		w.thawed(n, func() {
+			if n.up && n.life == life {
+				n.core.Tick(w.clock(n))
+				w.flush(n)
+				w.wake(n)
+			}
+		})
 	})
 }
 
@@ -385,8 +397,13 @@
 				w.fail("decode: %v", err)
 				return
 			}
-			to.core.Take(w.clock(to), n.member.Node, m)
-			w.flush(to)
+			life := to.life
+			w.thawed(to, func() { // a frozen one reads it when it wakes
+				if to.up && to.life == life {
+					to.core.Take(w.clock(to), n.member.Node, m)
+					w.flush(to)
+				}
+			})
 		})
 	}
 }
@@ -598,7 +615,7 @@
 	for _, n := range w.nodes {
 		if n.up && n.core.Role() == accord.Leader && !n.cut {
 			w.after(w.delay(n), func() {
-				if n.up && n.core.Role() == accord.Leader {
+				if n.up && !n.frozen && n.core.Role() == accord.Leader {
 					n.core.Submit(w.clock(n), req, req.ID.Origin < "c3")
 					w.flush(n)
 				}
@@ -641,11 +658,11 @@
 	n := w.nodes[w.rng.Intn(len(w.nodes))]
 	bad := 0
 	for _, x := range w.nodes {
-		if !x.up || x.cut {
+		if !x.up || x.cut || x.frozen {
 			bad++
 		}
 	}
-	if kind == "wipe" && (bad > 0 || !w.calm()) || bad >= (w.plan.Voters-1)/2 && !w.plan.Reckless || !n.up || n.cut {
+	if kind == "wipe" && (bad > 0 || !w.calm()) || bad >= (w.plan.Voters-1)/2 && !w.plan.Reckless || !n.up || n.cut || n.frozen {
 		return
 	}
 	for_ := unit.Millis(100 + w.rng.Intn(1500))
@@ -674,6 +691,9 @@
 				w.after(for_, func() { x.cut = false })
 			}
 		}
+	case "freeze": // it stands still, and goes on as if nothing had been
+		n.frozen = true
+		w.after(for_, func() { n.frozen = false })
 	case "cut":
 		n.cut = true
 		w.after(for_, func() { n.cut = false })
--- a/internal/maze/maze_test.go
+++ b/internal/maze/maze_test.go
@@ -65,7 +65,7 @@
 func TestLeadersComeAndGo(t *testing.T) {
 	seeds(t, 20, func(p Plan) Plan {
 		p.Seed += 2000
-		p.Troubles = []string{"drain", "cut", "slow"}
+		p.Troubles = []string{"drain", "cut", "slow", "freeze"}
 		p.Every, p.Loss = 250, 0.08
 		return p
 	})
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -281,7 +281,6 @@
 	Hub    *lane.Hub
 	Self   Node
 	Seeds  []unit.Node // control processes the settings name
-	Known  []unit.Node // and others known from before
 	OnNews func(*News)
 	News   *News
 	shown  atomic.Pointer[News] // the same, for other goroutines
@@ -400,7 +399,7 @@
 			}
 		}
 	}
-	for _, a := range append(append([]unit.Node(nil), c.Seeds...), c.Known...) {
+	for _, a := range c.Seeds {
 		if !seen[a] {
 			seen[a] = true
 			live = append(live, a)
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -86,13 +86,6 @@
 	Commit   unit.Slot
 }
 
-// Identity tells one life of a disk from another.
-type Identity struct {
-	_     struct{} `cbor:",toarray"`
-	Disk  uint64
-	Fresh bool // the disk was empty at the first start of the whole system
-}
-
 // Open opens or makes the directory. Reading a closed one for the tools: readOnly.
 func Open(dir string, readOnly bool) (*Vault, error) {
 	return openWith(dir, func() (*leveldb.DB, error) { return leveldb.OpenFile(dir, options(readOnly)) })
