A bound on the reports of silent nodes that a control process holds

Reports of lives that ended otherwise were never let go of. Past 1,024 they are dropped; watchers tell them again with every beat.

--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -322,6 +322,9 @@
 	k := life{x.Addr, x.Life}
 	r := d.missed[k]
 	if r == nil {
+		if len(d.missed) > 1024 {
+			clear(d.missed) // of lives long ended; who still misses one tells it again
+		}
 		r = map[unit.Node]unit.Millis{}
 		d.missed[k] = r
 	}
