One sheaf of news for norm and the stores; simpler words of shard leaders

Read again after the work: norm and the stores each packed changes for links that stand alike, in the same loop; rule.Sheaf does it for both.

--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -84,7 +84,6 @@
 	given   map[unit.Node]*gift // snapshots on their way to peers
 	last    image               // the newest one, for whoever else needs one now
 	coming  *arrival            // one on its way here
-	eras    []accord.Era        // its memberships
 	lead    unit.Ballot
 }
 
--- a/internal/choir/gift.go
+++ b/internal/choir/gift.go
@@ -46,6 +46,7 @@
 type arrival struct {
 	from unit.Node
 	slot unit.Slot
+	eras []accord.Era
 	at   unit.Millis
 	data []byte
 }
@@ -133,8 +134,8 @@
 	}
 	c := p.coming
 	if f.Off == 0 && (c == nil || c.slot < f.Slot || c.from == from || now-c.at >= giftStalls) {
-		c = &arrival{from: from, slot: f.Slot, data: make([]byte, 0, f.Total)}
-		p.coming, p.eras = c, f.Eras
+		c = &arrival{from: from, slot: f.Slot, eras: f.Eras, data: make([]byte, 0, f.Total)}
+		p.coming = c
 	}
 	if c == nil || c.from != from || c.slot != f.Slot || f.Off != len(c.data) {
 		return // of a transfer that was given up
@@ -146,7 +147,7 @@
 		return
 	}
 	p.coming = nil
-	s := vault.Snapshot{Slot: c.slot, Eras: p.eras, State: c.data}
+	s := vault.Snapshot{Slot: c.slot, Eras: c.eras, State: c.data}
 	if err := p.Machine.Load(s.State); err != nil {
 		unit.Log("snapshot-refused", "peer", from, "err", err)
 		return
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -351,17 +351,12 @@
 		return
 	}
 	w := d.shards[x.Group]
-	if w == nil || w.Epoch < x.Epoch {
-		old := w
-		w = &shardWord{since: map[unit.Num]unit.Millis{}}
-		if old != nil {
-			w.since = old.since
-		}
-		d.shards[x.Group] = w
-	} else if w.Epoch > x.Epoch {
+	if w == nil {
+		w = &shardWord{}
+	}
+	if w.Epoch > x.Epoch {
 		return
 	}
-	w.Vacant, w.at = x, now
 	since := map[unit.Num]unit.Millis{}
 	for _, m := range x.Silent {
 		since[m.Num] = now
@@ -369,7 +364,7 @@
 			since[m.Num] = at
 		}
 	}
-	w.since = since
+	d.shards[x.Group] = &shardWord{Vacant: x, at: now, since: since}
 }
 
 // enrol answers with news at once if the life is known, else once it is agreed.
@@ -451,7 +446,10 @@
 	if d.dirty && due(d.newsAt+30) {
 		d.dirty = false
 		d.kin.Nodes(d.state.Nodes, now)
-		d.spread()
+		news := rule.Sheaf{News: d.state.News()}
+		for l, seq := range d.heirs {
+			d.heirs[l] = news.Give(l, seq)
+		}
 	}
 	if due(d.pulseAt + 500) {
 		d.pulseAt = now
@@ -476,30 +474,6 @@
 	return wait
 }
 
-// spread gives each link what changed since it was last given something; links
-// that stand alike share the bytes.
-func (d *Daemon) spread() {
-	n := d.state.News()
-	packed := map[unit.Slot][]byte{}
-	for l, seq := range d.heirs {
-		if seq >= n.Seq {
-			continue
-		}
-		b, ok := packed[seq]
-		if !ok {
-			var err error
-			if b, err = cbor.Marshal(n.Since(seq)); err != nil {
-				unit.Log("encode-failed", "kind", rule.KindNews, "err", err)
-				return
-			}
-			packed[seq] = b
-		}
-		if l.SendRaw(rule.KindNews, b) {
-			d.heirs[l] = n.Seq
-		}
-	}
-}
-
 // join enrols this process: in the group's order if it knows who leads, else
 // through any control process it knows of, asked ever more seldom.
 func (d *Daemon) join(now unit.Millis) {
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -234,23 +234,9 @@
 	d.kin.Nodes(n.Nodes, now)
 	d.dutyAt = min(d.dutyAt, now+20) // take a change up at once
 	unit.Log("news", "seq", n.Seq, "release", n.Release, "nodes", len(n.Nodes), "shards", len(n.Shards))
-	packed := map[unit.Slot][]byte{}
+	news := rule.Sheaf{News: n}
 	for _, f := range d.followers {
-		if f.seq >= n.Seq {
-			continue
-		}
-		b, ok := packed[f.seq]
-		if !ok {
-			var err error
-			if b, err = cbor.Marshal(n.Since(f.seq)); err != nil {
-				unit.Log("encode-failed", "kind", rule.KindNews, "err", err)
-				return
-			}
-			packed[f.seq] = b
-		}
-		if f.link.SendRaw(rule.KindNews, b) {
-			f.seq = n.Seq
-		}
+		f.seq = news.Give(f.link, f.seq)
 	}
 }
 
@@ -384,16 +370,14 @@
 	})
 }
 
-// groups is how many shards there are.
-func (d *Daemon) groups() int {
-	if d.norm.News == nil {
+func (d *Daemon) groupOf(t unit.Topic) unit.Group {
+	n := d.norm.News
+	if n == nil {
 		return 0
 	}
-	return len(d.norm.News.Shards)
+	return unit.GroupOf(t, max(1, len(n.Shards)))
 }
 
-func (d *Daemon) groupOf(t unit.Topic) unit.Group { return unit.GroupOf(t, max(1, d.groups())) }
-
 func (d *Daemon) shardOf(t unit.Topic) *shard { return d.shards[d.groupOf(t)] }
 
 // fresh tells whether the replica of a group here has what its leader says is
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -11,6 +11,8 @@
 	"sort"
 	"sync/atomic"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/unit"
@@ -105,6 +107,36 @@
 	return out
 }
 
+// Sheaf gives links what changed since what each was last given; links that
+// stand alike share the bytes.
+type Sheaf struct {
+	News   *News
+	packed map[unit.Slot][]byte
+}
+
+// Give sends a link what changed after seq, and tells how new its news are then.
+func (s *Sheaf) Give(l *lane.Link, seq unit.Slot) unit.Slot {
+	if seq >= s.News.Seq {
+		return seq
+	}
+	b, ok := s.packed[seq]
+	if !ok {
+		var err error
+		if b, err = cbor.Marshal(s.News.Since(seq)); err != nil {
+			unit.Log("encode-failed", "kind", KindNews, "err", err)
+			return seq
+		}
+		if s.packed == nil {
+			s.packed = map[unit.Slot][]byte{}
+		}
+		s.packed[seq] = b
+	}
+	if !l.SendRaw(KindNews, b) {
+		return seq
+	}
+	return s.News.Seq
+}
+
 // with gives the news after a change was taken into them.
 func (n *News) with(d *News) *News {
 	out := *d
