--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -22,34 +22,36 @@
 
 // Daemon is one control-plane process.
 type Daemon struct {
-	set     *ground.Settings
-	self    rule.Node
-	actor   *choir.Actor
-	hub     *lane.Hub
-	ch      *choir.Choir
-	part    *choir.Part
-	vault   *vault.Vault
-	state   State
-	waiting map[accord.ID]*asked
-	seq     uint64
-	heirs   map[*lane.Link]unit.Slot // links that hear news, and how new theirs are
-	seeds   []unit.Node
-	known   []unit.Node // control processes, as the disk remembers them
-	joinAt  unit.Millis
-	joinFor unit.Millis
-	dirty   bool
-	newsAt  unit.Millis
-	pulseAt unit.Millis
-	enrolAt unit.Millis
-	missed  map[life]map[unit.Node]unit.Millis // who misses whom
-	shards  map[unit.Group]*shardWord
-	kin     *kin.Watch
-	dutyAt  unit.Millis
-	moveAt  unit.Millis
-	counted int // stores seen at the last look before the founding
-	foundAt unit.Millis
-	leaving bool
-	once    sync.Once
+	set      *ground.Settings
+	self     rule.Node
+	actor    *choir.Actor
+	hub      *lane.Hub
+	ch       *choir.Choir
+	part     *choir.Part
+	vault    *vault.Vault
+	state    State
+	waiting  map[accord.ID]*asked
+	seq      uint64
+	heirs    map[*lane.Link]unit.Slot // links that hear news, and how new theirs are
+	sketch   []byte                   // the packed sketch of the news, as of sketchAt
+	sketchAt unit.Slot
+	seeds    []unit.Node
+	known    []unit.Node // control processes, as the disk remembers them
+	joinAt   unit.Millis
+	joinFor  unit.Millis
+	dirty    bool
+	newsAt   unit.Millis
+	pulseAt  unit.Millis
+	enrolAt  unit.Millis
+	missed   map[life]map[unit.Node]unit.Millis // who misses whom
+	shards   map[unit.Group]*shardWord
+	kin      *kin.Watch
+	dutyAt   unit.Millis
+	moveAt   unit.Millis
+	counted  int // stores seen at the last look before the founding
+	foundAt  unit.Millis
+	leaving  bool
+	once     sync.Once
 }
 
 type life struct {
@@ -369,10 +371,21 @@
 
 // enrol answers with news at once if the life is known, else once it is agreed.
 // A process that waits for that gets the news this replica has meanwhile, if it
-// has none: they are as good as those of a process that enrolled earlier.
+// has none: they are as good as those of a process that enrolled earlier. An edge
+// is told where to have them: from a store of its zone, which lists it once it is
+// agreed.
 func (d *Daemon) enrol(l *lane.Link, x rule.Enrol) {
 	n := x.Node
 	o := d.state.find(n.Addr)
+	if n.Duty == rule.Edge && !x.Whole {
+		if x.Seq == 0 {
+			d.where(l)
+		}
+		if o == nil || o.Life != n.Life || o.Gone {
+			d.Ask(Command{Verb: Enroll, Node: n}, 2000, func(Result, bool) {})
+		}
+		return
+	}
 	if o != nil && o.Life == n.Life && o.Disk == n.Disk && !o.Gone {
 		d.heir(l, n, x.Seq)
 		return
@@ -387,6 +400,19 @@
 	})
 }
 
+// where sends a link the sketch of the news.
+func (d *Daemon) where(l *lane.Link) {
+	if d.sketch == nil || d.sketchAt != d.state.NewsAt {
+		b, err := cbor.Marshal(d.state.News().Sketch())
+		if err != nil {
+			unit.Log("encode-failed", "kind", rule.KindNews, "err", err)
+			return
+		}
+		d.sketch, d.sketchAt = b, d.state.NewsAt
+	}
+	l.SendRaw(rule.KindNews, d.sketch)
+}
+
 // heir gives a link what is new since seq, and goes on with it.
 func (d *Daemon) heir(l *lane.Link, n rule.Node, seq unit.Slot) {
 	if n.Duty == rule.Norm {
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -35,6 +35,7 @@
 	shards    map[unit.Group]*shard
 	followers map[*lane.Link]*follower
 	byEdge    map[unit.Node]*follower
+	hearers   map[*lane.Link]unit.Slot // edges this store is the home of, and how new their news are
 	watchers  map[unit.Topic]map[*follower]bool
 	leads     map[unit.Group]trace.Lead
 	pulseAt   unit.Millis
@@ -61,7 +62,6 @@
 	groups map[unit.Group]bool
 	topics map[unit.Topic]bool
 	flow   trace.Flow
-	seq    unit.Slot // how new the edge's news are
 }
 
 // Conf gives a shard group's bounds. docs/design.md tells which defaults were
@@ -99,7 +99,7 @@
 // Start opens the disk, enrols and serves.
 func Start(set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(2048), shards: map[unit.Group]*shard{},
-		followers: map[*lane.Link]*follower{}, byEdge: map[unit.Node]*follower{}, strange: map[tale.Holder]unit.Millis{},
+		followers: map[*lane.Link]*follower{}, byEdge: map[unit.Node]*follower{}, hearers: map[*lane.Link]unit.Slot{}, strange: map[tale.Holder]unit.Millis{},
 		idle: map[unit.Group]unit.Millis{}, watchers: map[unit.Topic]map[*follower]bool{}, leads: map[unit.Group]trace.Lead{}}
 	var err error
 	if d.vault, err = vault.Open(set.DataDir, false); err != nil {
@@ -235,8 +235,8 @@
 	d.dutyAt = min(d.dutyAt, now+20) // take a change up at once
 	unit.Log("news", "seq", n.Seq, "release", n.Release, "nodes", len(n.Nodes), "shards", len(n.Shards))
 	news := rule.Sheaf{News: n}
-	for _, f := range d.followers {
-		f.seq = news.Give(f.link, f.seq)
+	for l, seq := range d.hearers {
+		d.hearers[l] = news.Give(l, seq)
 	}
 }
 
@@ -293,6 +293,7 @@
 
 func (d *Daemon) down(l *lane.Link) {
 	d.actor.Do(func() {
+		delete(d.hearers, l)
 		if f := d.followers[l]; f != nil {
 			for g := range f.groups {
 				d.unfollow(f, g)
@@ -356,6 +357,10 @@
 			if x, ok := lane.Get[trace.Unwatch](b); ok && f != nil {
 				d.unwatch(f, x.Topic)
 			}
+		case trace.KindHear:
+			if x, ok := lane.Get[trace.Hear](b); ok {
+				d.hear(l, x)
+			}
 		case trace.KindPing:
 			if x, ok := lane.Get[trace.Ping](b); ok {
 				l.Send(trace.KindPong, x)
@@ -399,18 +404,44 @@
 		return
 	}
 	if f == nil || d.followers[l] == nil {
-		f = &follower{link: l, edge: x.Edge, topics: map[unit.Topic]bool{}, groups: map[unit.Group]bool{}, seq: x.Seq}
+		f = &follower{link: l, edge: x.Edge, topics: map[unit.Topic]bool{}, groups: map[unit.Group]bool{}}
 		d.followers[l], d.byEdge[x.Edge] = f, f
 	}
 	f.groups[x.Group] = true
-	if n := d.norm.News; f.seq < n.Seq && l.Send(rule.KindNews, n.Since(f.seq)) {
-		f.seq = n.Seq
-	}
 	for _, lead := range d.leads {
 		l.Send(trace.KindLead, lead)
 	}
 }
 
+// hear makes this store the home of an edge, or ends that. An edge has one home,
+// however many stores it follows, so each change reaches it once.
+func (d *Daemon) hear(l *lane.Link, x trace.Hear) {
+	if x.Off {
+		delete(d.hearers, l)
+		return
+	}
+	d.hearers[l] = x.Seq
+	if n := d.norm.News; n != nil {
+		d.hearers[l] = (&rule.Sheaf{News: n}).Give(l, x.Seq)
+	}
+	d.beat(unit.Steady(), []*lane.Link{l})
+}
+
+// beat shows edges that this store lives, and what it is good for.
+func (d *Daemon) beat(now unit.Millis, to []*lane.Link) {
+	p := trace.Pulse{Told: d.norm.Told(now)}
+	for g := range d.shards {
+		if !d.fresh(now, g) {
+			p.Stale = append(p.Stale, g)
+		}
+	}
+	if b, err := cbor.Marshal(p); err == nil {
+		for _, l := range to {
+			l.SendRaw(trace.KindBeat, b)
+		}
+	}
+}
+
 func (d *Daemon) watch(f *follower, x trace.Watch) {
 	s := d.shardOf(x.Topic)
 	if s == nil || !f.groups[s.group] {
@@ -483,17 +514,13 @@
 	d.norm.Step(now)
 	if now >= d.pulseAt {
 		d.pulseAt = now + d.pulse
-		p := trace.Pulse{Told: d.norm.Told(now)}
-		for g := range d.shards {
-			if !d.fresh(now, g) {
-				p.Stale = append(p.Stale, g)
-			}
-		}
-		if b, err := cbor.Marshal(p); err == nil {
-			for l := range d.followers {
-				l.SendRaw(trace.KindBeat, b)
+		to := slices.Collect(maps.Keys(d.followers))
+		for l := range d.hearers {
+			if d.followers[l] == nil {
+				to = append(to, l)
 			}
 		}
+		d.beat(now, to)
 	}
 	if now >= d.roomAt {
 		d.roomAt = now + 1000
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"bytes"
-	"compress/flate"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -19,6 +18,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/flate"
 
 	"oxbowdeck/internal/unit"
 )
@@ -312,8 +312,7 @@
 			return
 		}
 	}
-	var old []byte
-	var deflate *flate.Writer
+	var old, before []byte
 	var packed bytes.Buffer // one write a turn: the deflater itself writes in scraps
 	for {
 		l.mu.Lock()
@@ -330,13 +329,12 @@
 		}
 		var err error
 		if pack {
-			if deflate == nil {
-				deflate, _ = flate.NewWriter(&packed, packLevel)
-			}
-			deflate.Write(b) // to memory: cannot fail
-			deflate.Flush()
+			flate.StatelessDeflate(&packed, b, false, before) // to memory: cannot fail
+			before = lately(before, b)
 			_, err = c.Write(packed.Bytes())
-			packed.Reset()
+			if packed.Reset(); packed.Cap() > 64<<10 {
+				packed = bytes.Buffer{}
+			}
 		} else {
 			_, err = c.Write(b)
 		}
@@ -351,9 +349,22 @@
 	}
 }
 
-// packLevel is the cheapest level that packs names and short bodies well: in a
-// stream of 300-byte frames it left 63%, the fastest level 87%.
-const packLevel = 6
+// packBefore is how much of what went before a frame may point back to. A
+// deflater that keeps tables holds 0.8 MB a link, and an edge has a link to each
+// leader; this one keeps these bytes alone. A stream of 300-byte frames is left
+// at 63%, as with tables, for a third of the processor time.
+const packBefore = 2 << 10
+
+// lately gives the last packBefore bytes of a stream.
+func lately(before, b []byte) []byte {
+	if len(b) >= packBefore {
+		return append(before[:0], b[len(b)-packBefore:]...)
+	}
+	if before = append(before, b...); len(before) > packBefore {
+		before = before[:copy(before, before[len(before)-packBefore:])]
+	}
+	return before
+}
 
 func (l *Link) read(c net.Conn) {
 	defer l.Drop()
--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -121,3 +122,28 @@
 	}
 	l.Drop()
 }
+
+// TestDeflatedLinksAreSmall: an edge has a link to each leader, most of them in
+// other zones; what each of those keeps must not be a deflater's tables.
+func TestDeflatedLinksAreSmall(t *testing.T) {
+	got := make(chan bool, 400)
+	a, to, _ := pair(t, true, func(*Link, Kind, []byte) { got <- true })
+	const links, most = 30, 200 << 10 // both ends of a link are in this process
+	frame := bytes.Repeat([]byte("a frame of many words, "), 20)
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	for i := 0; i < links; i++ {
+		l := &Link{hub: a, to: to, way: way(100 + i), ready: make(chan struct{}, 1)}
+		go l.dial()
+		l.SendRaw(5, frame)
+		<-got
+	}
+	if each := int64(heap()-before) / links; each > most {
+		t.Fatalf("%d bytes a link", each)
+	}
+}
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -85,6 +85,22 @@
 	Shards   []Shard
 }
 
+// Sketch is as much of the news as a process needs that shall hear them from a
+// store of its zone: who the stores and control processes are, and who holds
+// which shard. Its Seq is 0: whatever else comes is newer.
+func (n *News) Sketch() *News {
+	out := &News{}
+	for _, x := range n.Nodes {
+		if x.Duty != Edge && !x.Gone {
+			out.Nodes = append(out.Nodes, Node{Duty: x.Duty, Zone: x.Zone, Addr: x.Addr, Num: x.Num})
+		}
+	}
+	for _, x := range n.Shards {
+		out.Shards = append(out.Shards, Shard{Voters: x.Voters, Learners: x.Learners, Group: x.Group})
+	}
+	return out
+}
+
 // Since gives what changed after base, or all of it.
 func (n *News) Since(base unit.Slot) *News {
 	if base < n.Forgot || base > n.Seq {
@@ -192,9 +208,10 @@
 
 // Enrol is a process's word that it lives, and how new its news are.
 type Enrol struct {
-	_    struct{} `cbor:",toarray"`
-	Node Node
-	Seq  unit.Slot
+	_     struct{} `cbor:",toarray"`
+	Node  Node
+	Seq   unit.Slot
+	Whole bool // the news are wanted from control itself
 }
 
 // Leave tells that a process drains, or fell silent, and is to be left out.
@@ -322,6 +339,8 @@
 	nextAt unit.Millis
 	pause  unit.Millis
 	whole  bool // changes did not fit: all of it is needed
+	asked  bool // and was asked for
+	Direct bool // the news are to come from control itself
 }
 
 // Begin takes up news from an earlier life, before the actor runs.
@@ -366,10 +385,11 @@
 		c.drop()
 	}
 	c.at = pick
-	c.Hub.Send(pick, KindEnroll, Enrol{Node: c.Self, Seq: c.seq()})
+	c.Hub.Send(pick, KindEnroll, Enrol{Node: c.Self, Seq: c.Seq(), Whole: c.Direct})
 }
 
-func (c *Client) seq() unit.Slot {
+// Seq is how new the news are; 0 when all of them are needed.
+func (c *Client) Seq() unit.Slot {
 	if c.News == nil || c.whole {
 		return 0
 	}
@@ -468,11 +488,17 @@
 
 // Take keeps news if they are newer: within a life nothing goes back.
 func (c *Client) Take(n *News) {
+	if n.Seq == 0 && n.Base == 0 && (c.News == nil || c.News.Seq == 0) { // a sketch
+		c.News = n
+		c.shown.Store(n)
+		c.OnNews(n)
+		return
+	}
 	if c.News != nil && n.Seq <= c.News.Seq {
 		return
 	}
 	if n.Base > 0 && (c.News == nil || n.Base > c.News.Seq) {
-		c.whole = true // something between is missing
+		c.whole, c.asked = true, false // something between is missing
 		c.heard = 0
 		return
 	}
@@ -486,6 +512,10 @@
 	c.OnNews(n)
 }
 
+// Lacks tells whether all of the news must be asked for; Asked, that it was.
+func (c *Client) Lacks() bool { return c.whole && !c.asked }
+func (c *Client) Asked()      { c.asked = true }
+
 // Find gives a process of the newest news.
 func (n *News) Find(a unit.Node) *Node {
 	for i := range n.Nodes {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -29,6 +29,7 @@
 	KindBeat     lane.Kind = 33
 	KindPing     lane.Kind = 34
 	KindPong     lane.Kind = 35
+	KindHear     lane.Kind = 36
 )
 
 // Follow asks a replica for the decided order of a group; Followed answers.
@@ -37,7 +38,14 @@
 	Group unit.Group
 	Edge  unit.Node
 	Life  unit.Life
-	Seq   unit.Slot // how new the edge's news are
+}
+
+// Hear asks a store to be this edge's home for news: what is newer than Seq, and
+// every change from then on; or, with Off, to be it no more.
+type Hear struct {
+	_   struct{} `cbor:",toarray"`
+	Seq unit.Slot
+	Off bool
 }
 
 // Followed tells whether the replica can serve now.
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -43,7 +43,10 @@
 
 	ties    []*tie // by shard
 	pingAt  unit.Millis
-	toldAt  unit.Millis // when a replica followed last had heard the control plane
+	home    *lane.Link                // the store of this zone that brings the news
+	homeAt  unit.Millis               // when it was asked
+	toldAt  unit.Millis               // when it last had heard the control plane
+	shunned map[unit.Node]unit.Millis // stores that did not serve as home, until when
 	reqSeq  uint64
 	leaving bool
 	sweepAt unit.Millis
@@ -72,7 +75,7 @@
 func Start(set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(4096), config: &rule.Config{}, conns: map[uint64]*conn{},
 		topics: map[unit.Topic]*topic{}, reqs: map[uint64]*sub{}, counts: map[uint64]*census{}, calls: map[accord.ID]*call{}, doubts: map[accord.ID]unit.Millis{},
-		outq: map[unit.Group][]*call{}, leads: map[unit.Group]trace.Lead{}}
+		outq: map[unit.Group][]*call{}, leads: map[unit.Group]trace.Lead{}, shunned: map[unit.Node]unit.Millis{}}
 	d.b = bounds{
 		conns: set.Int("edge_conns", max(64, (set.FDs-200)/2)), out: set.Int("client_out_kb", 512) << 10,
 		calls: set.Int("edge_calls", 20000), perConn: set.Int("client_calls", 256),
@@ -298,7 +301,9 @@
 			}
 		}
 	}
-	d.kin.Nodes(n.Nodes, unit.Steady())
+	if n.Seq > 0 { // a sketch does not name the other edges
+		d.kin.Nodes(n.Nodes, unit.Steady())
+	}
 	if me := n.Find(d.self.Addr); me != nil && me.Gone && me.Life == d.self.Life && !d.leaving {
 		d.reborn()
 	}
@@ -326,7 +331,8 @@
 func (d *Daemon) step() time.Duration {
 	now := unit.Steady()
 	wait := unit.Millis(500)
-	// a replica followed brings the news; norm itself is asked when none does
+	// a store brings the news; norm is asked to enrol, and when no store does
+	d.watchHome(now)
 	if d.untold(now) {
 		d.norm.Step(now)
 		wait = 100
@@ -406,11 +412,6 @@
 	return !spoken && len(d.doubts) < mostDoubts
 }
 
-// untold tells whether the news must be had from norm itself.
-func (d *Daemon) untold(now unit.Millis) bool {
-	return d.norm.News == nil || now-d.toldAt > 2*d.b.quiet || !d.norm.Listed()
-}
-
 // serves tells whether clients are well off here: every shard is followed. Once
 // ready, a moment without one of them is no reason to turn clients away.
 func (d *Daemon) serves(now unit.Millis) bool {
@@ -442,6 +443,11 @@
 			x.c.put(reject(nil, wCensus, x.topic, 0, cRetry))
 		}
 	}
+	for a, until := range d.shunned {
+		if now > until {
+			delete(d.shunned, a)
+		}
+	}
 	for id, at := range d.doubts {
 		if now-at > doubtFor {
 			delete(d.doubts, id)
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -64,6 +64,10 @@
 func (d *Daemon) down(l *lane.Link) {
 	d.actor.Do(func() {
 		now := unit.Steady()
+		if l == d.home {
+			d.home, d.toldAt = nil, 0
+			d.watchHome(now)
+		}
 		for _, x := range d.ties {
 			if l == x.try {
 				x.try = nil
@@ -174,7 +178,7 @@
 			}
 			if any || x.avoid[r.Addr] <= now {
 				l := d.hub.To(r.Addr)
-				if !l.Send(trace.KindFollow, trace.Follow{Group: x.group, Edge: d.self.Addr, Life: d.self.Life, Seq: d.norm0().Seq}) {
+				if !l.Send(trace.KindFollow, trace.Follow{Group: x.group, Edge: d.self.Addr, Life: d.self.Life}) {
 					continue // could not be reached a moment ago
 				}
 				x.try, x.tryAt = l, now
@@ -259,7 +263,7 @@
 
 // beat takes a replica's sign of life.
 func (d *Daemon) beat(now unit.Millis, l *lane.Link, p trace.Pulse) {
-	if p.Told {
+	if l == d.home && p.Told {
 		d.toldAt = now
 	}
 	for _, x := range d.ties {
