--- a/internal/voice/home.go
+++ b/internal/voice/home.go
@@ -26,6 +26,7 @@
 		return
 	}
 	if d.home != nil {
+		unit.Log("home-lost", "peer", d.home.Peer().Node, "told_ms", now-d.toldAt)
 		d.shunned[d.home.Peer().Node] = now + 3000
 		d.home.Send(trace.KindHear, trace.Hear{Off: true})
 		d.home = nil
@@ -56,6 +57,9 @@
 		return false
 	}
 	d.norm.Asked()
+	if d.home != l {
+		unit.Log("home", "peer", l.Peer().Node)
+	}
 	d.home, d.homeAt = l, now
 	return true
 }
