An edge leaves a home whose news are older than another store's for over a second

Cause: with one home a slow store could hold a configuration back; when every followed store gave the news the fastest won. Signs of life now say how new a store's news are. Tested in TestHome, which fails when any of the three reasons to leave a home is taken out.

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -430,6 +430,9 @@
 // beat shows edges that this store lives, and what it is good for.
 func (d *Daemon) beat(now unit.Millis, to []*lane.Link) {
 	p := trace.Pulse{Told: d.norm.Told(now)}
+	if n := d.norm.News; n != nil {
+		p.Seq = n.Seq
+	}
 	for g := range d.shards {
 		if !d.fresh(now, g) {
 			p.Stale = append(p.Stale, g)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -60,6 +60,7 @@
 	_     struct{}     `cbor:",toarray"`
 	Stale []unit.Group // groups whose newest decisions are not here
 	Told  bool         // the control plane was heard lately
+	Seq   unit.Slot    // how new this store's news are
 }
 
 // Watch asks for a topic from a place on. The answer comes in the order of the
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -43,9 +43,11 @@
 
 	ties    []*tie // by shard
 	pingAt  unit.Millis
-	home    *lane.Link                // the store of this zone that brings the news
-	homeAt  unit.Millis               // when it was asked
-	toldAt  unit.Millis               // when it last had heard the control plane
+	home    *lane.Link  // the store of this zone that brings the news
+	homeAt  unit.Millis // when it was asked
+	toldAt  unit.Millis // when it last had heard the control plane
+	newer   unit.Slot   // news that some store has and the home did not bring yet
+	newerAt unit.Millis
 	shunned map[unit.Node]unit.Millis // stores that did not serve as home, until when
 	reqSeq  uint64
 	leaving bool
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -266,6 +266,7 @@
 	if l == d.home && p.Told {
 		d.toldAt = now
 	}
+	d.compare(now, l, p.Seq)
 	for _, x := range d.ties {
 		if x.cur != l {
 			continue
--- a/internal/voice/home.go
+++ b/internal/voice/home.go
@@ -52,6 +52,30 @@
 	}
 }
 
+// behindFor is how long other stores may have newer news than the home brought.
+const behindFor = unit.Millis(1000)
+
+// compare turns to a store that has had newer news for a while: the home is slow,
+// or lost them.
+func (d *Daemon) compare(now unit.Millis, l *lane.Link, seq unit.Slot) {
+	if d.norm.News == nil || seq <= d.norm.News.Seq {
+		return
+	}
+	if d.newer <= d.norm.News.Seq {
+		d.newer, d.newerAt = seq, now
+		return
+	}
+	if now-d.newerAt <= behindFor || now-d.homeAt <= behindFor {
+		return
+	}
+	if d.home != nil && d.home != l {
+		unit.Log("home-lost", "peer", d.home.Peer().Node, "behind_ms", now-d.newerAt)
+		d.shunned[d.home.Peer().Node] = now + 3000
+		d.home.Send(trace.KindHear, trace.Hear{Off: true})
+	}
+	d.hear(now, l)
+}
+
 func (d *Daemon) hear(now unit.Millis, l *lane.Link) bool {
 	if !l.Send(trace.KindHear, trace.Hear{Seq: d.norm.Seq()}) {
 		return false
