A route that names a field twice is refused again, however many are alike

Cause: chose one route of each kind from a decoded map, in which the last of two equal keys wins and bytes that are no text are replaced; the schema's check of the whole had refused both. An invalid configuration could be acknowledged. Confirmed by a route with two guard_timer_ms among 400, taken before, named now. Mended where it arose: the sample is taken on CUE's own tree. Ruled out: a look for repeated keys beside the map, a second reading of what CUE reads.

--- a/internal/edict/config.go
+++ b/internal/edict/config.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"io"
 	"regexp"
+	"strconv"
+	"strings"
 	"sync"
 
 	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/ast"
 	"cuelang.org/go/cue/cuecontext"
 	cuejson "cuelang.org/go/encoding/json"
 
@@ -25,15 +28,14 @@
 // returns the release it carries.
 func Check(body []byte) (int64, error) {
 	dec := json.NewDecoder(bytes.NewReader(body))
-	dec.UseNumber()
-	var raw any
+	var raw json.RawMessage // read for its syntax alone
 	if err := dec.Decode(&raw); err != nil {
 		return 0, fmt.Errorf("unreadable: %w", err)
 	}
 	if _, err := dec.Token(); err != io.EOF {
 		return 0, fmt.Errorf("unreadable: more follows the configuration")
 	}
-	if err := fits(raw, body); err != nil {
+	if err := fits(body); err != nil {
 		return 0, err
 	}
 	var c struct {
@@ -71,69 +73,111 @@
 // little but their names, and the schema asks the same of every route, so one of
 // each kind stands for all of its kind; when that one is refused, all of them are
 // checked, to name the entry.
-func fits(raw any, body []byte) error {
-	few, err := json.Marshal(sample(raw))
-	if err == nil && len(few) < len(body) && against(few) == nil {
+func fits(body []byte) error {
+	read := func() (ast.Expr, error) { return cuejson.Extract("configuration", body) }
+	expr, err := read()
+	if err != nil {
+		return ground.FirstError(err)
+	}
+	if few := sample(expr); few != nil && against(few) == nil {
 		return nil
 	}
-	return against(body)
+	if expr, err = read(); err != nil { // a build may leave its marks on a tree
+		return ground.FirstError(err)
+	}
+	return against(expr)
 }
 
-func against(body []byte) error {
+func against(expr ast.Expr) error {
 	cueMu.Lock()
 	defer cueMu.Unlock()
 	ctx := cuecontext.New()
 	want := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Config"))
-	expr, err := cuejson.Extract("configuration", body)
-	if err == nil {
-		err = want.Unify(ctx.BuildExpr(expr)).Validate(cue.Concrete(true))
-	}
-	if err != nil {
+	if err := want.Unify(ctx.BuildExpr(expr)).Validate(cue.Concrete(true)); err != nil {
 		return ground.FirstError(err)
 	}
 	return nil
 }
 
-// plainName is what a label or prefix may be made of to need no look of its own.
-var plainName = regexp.MustCompile("^[!-~]*$")
-
-// sample gives the configuration with one route of each kind: routes are alike
-// when they differ in label and path_prefix alone, and both are plain.
-func sample(raw any) any {
-	top, ok := raw.(map[string]any)
+// sample gives the configuration with one route of each kind, or nil when it has
+// no one list of routes. It works on the tree that CUE checks, so what the tree
+// holds twice is held twice by the sample as well.
+func sample(expr ast.Expr) ast.Expr {
+	top, ok := expr.(*ast.StructLit)
 	if !ok {
-		return raw
+		return nil
 	}
-	routes, ok := top["routing_entries"].([]any)
-	if !ok {
-		return raw
+	out, lists := &ast.StructLit{}, 0
+	for _, e := range top.Elts {
+		if f, ok := e.(*ast.Field); ok && named(f) == "routing_entries" {
+			routes, ok := f.Value.(*ast.ListLit)
+			if lists++; !ok || lists > 1 {
+				return nil
+			}
+			e = &ast.Field{Label: f.Label, Value: oneOfEach(routes)}
+		}
+		out.Elts = append(out.Elts, e)
+	}
+	if lists == 0 {
+		return nil
 	}
+	return out
+}
+
+func oneOfEach(routes *ast.ListLit) *ast.ListLit {
 	seen := map[string]bool{}
-	few := make([]any, 0, 8)
-	for _, x := range routes {
-		r, ok := x.(map[string]any)
-		label, ok1 := r["label"].(string)
-		prefix, ok2 := r["path_prefix"].(string)
-		if !ok || !ok1 || !ok2 || !plainName.MatchString(label) || !plainName.MatchString(prefix) {
-			few = append(few, x)
-			continue
+	out := &ast.ListLit{}
+	for _, x := range routes.Elts {
+		kind, ok := kindOf(x)
+		if !ok || !seen[kind] {
+			out.Elts = append(out.Elts, x)
 		}
-		kind := make(map[string]any, len(r))
-		for k, v := range r {
-			if k != "label" && k != "path_prefix" {
-				kind[k] = v
+		if ok {
+			seen[kind] = true
+		}
+	}
+	return out
+}
+
+func named(f *ast.Field) string {
+	name, _, err := ast.LabelName(f.Label)
+	if err != nil {
+		return ""
+	}
+	return name
+}
+
+// plainName is a label or prefix that needs no look of its own.
+var plainName = regexp.MustCompile(`^"[!#-\[\]-~]*"$`)
+
+// kindOf is all that a route says but its label and path_prefix. A route that is
+// not made of plain values, or has not one plain name of each, is a kind by itself.
+func kindOf(x ast.Expr) (kind string, ok bool) {
+	route, ok := x.(*ast.StructLit)
+	if !ok {
+		return "", false
+	}
+	var b strings.Builder
+	names := map[string]int{}
+	for _, e := range route.Elts {
+		f, ok := e.(*ast.Field)
+		if !ok {
+			return "", false
+		}
+		v, ok := f.Value.(*ast.BasicLit)
+		if !ok {
+			return "", false
+		}
+		name := named(f)
+		if name == "label" || name == "path_prefix" {
+			if names[name]++; !plainName.MatchString(v.Value) {
+				return "", false
 			}
+			continue
 		}
-		key, err := json.Marshal(kind)
-		if err != nil || !seen[string(key)] {
-			seen[string(key)] = true
-			few = append(few, x)
+		for _, part := range []string{strconv.Quote(name), ":", v.Value, ","} {
+			b.WriteString(part)
 		}
 	}
-	out := make(map[string]any, len(top))
-	for k, v := range top {
-		out[k] = v
-	}
-	out["routing_entries"] = few
-	return out
+	return b.String(), names["label"] == 1 && names["path_prefix"] == 1
 }
--- a/internal/edict/config_test.go
+++ b/internal/edict/config_test.go
@@ -30,11 +30,15 @@
 		t.Fatal(err)
 	}
 	for _, odd := range []string{`"guard_timer_ms":0`, `"guard_timer_ms":"1500"`, `"guard_timer_ms":1500.5`, `"guard":1500`,
+		`"guard_timer_ms":0,"guard_timer_ms":1500`, `"guard_timer_ms":1500,"label":"x"`, `"guard_timer_ms":1500,"path_prefix":"zz."`,
 		`"guard_timer_ms":1500,"path_prefix":7`, `"guard_timer_ms":1500,"label":null`, `"guard_timer_ms":1500,"path_prefix":"a b"`} {
 		if _, err := Check(routes(400, 333, odd)); err == nil || !strings.Contains(err.Error(), "routing_entries.333.") {
 			t.Errorf("%s: %v", odd, err)
 		}
 	}
+	if _, err := Check(routes(400, 333, "\"guard_timer_ms\":1500,\"note\":\"\xff\"")); err == nil {
+		t.Error("bytes that are no text were taken")
+	}
 	few := testing.AllocsPerRun(1, func() { Check(routes(30, -1, "")) })
 	many := testing.AllocsPerRun(1, func() { Check(routes(3000, -1, "")) })
 	if many > few+3000*120 {
