One piece each for leaving a home, keeping news, a listed life and a place on the ring

Twins found on reading the change again: leaving a home stood twice in voice/home.go, taking up news three times in rule.Client, the look for a known life twice in edict's enrol, a node's place on the ring twice in kin. Tests unchanged.

--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -377,16 +377,17 @@
 func (d *Daemon) enrol(l *lane.Link, x rule.Enrol) {
 	n := x.Node
 	o := d.state.find(n.Addr)
+	listed := o != nil && o.Life == n.Life && o.Disk == n.Disk && !o.Gone
 	if n.Duty == rule.Edge && !x.Whole {
 		if x.Seq == 0 {
 			d.where(l)
 		}
-		if o == nil || o.Life != n.Life || o.Gone {
+		if !listed {
 			d.Ask(Command{Verb: Enroll, Node: n}, 2000, func(Result, bool) {})
 		}
 		return
 	}
-	if o != nil && o.Life == n.Life && o.Disk == n.Disk && !o.Gone {
+	if listed {
 		d.heir(l, n, x.Seq)
 		return
 	}
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,12 +24,7 @@
 // zone by zone, so heartbeats seldom leave a zone.
 func Watchers(nodes []rule.Node, n unit.Node, k int) []unit.Node {
 	ring := ring(nodes)
-	at := -1
-	for i, x := range ring {
-		if x.Addr == n {
-			at = i
-		}
-	}
+	at := place(ring, n)
 	if at < 0 {
 		return nil
 	}
@@ -39,6 +35,11 @@
 	return out
 }
 
+// place gives where a node stands on the ring; -1 when it does not.
+func place(ring []rule.Node, n unit.Node) int {
+	return slices.IndexFunc(ring, func(x rule.Node) bool { return x.Addr == n })
+}
+
 func ring(nodes []rule.Node) []rule.Node {
 	var out []rule.Node
 	for _, n := range nodes {
@@ -119,12 +120,7 @@
 	old := w.watched
 	w.watched = map[unit.Node]*watched{}
 	ring := ring(nodes)
-	at := -1
-	for i, n := range ring {
-		if n.Addr == w.Self {
-			at = i
-		}
-	}
+	at := place(ring, w.Self)
 	if at < 0 {
 		return
 	}
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -349,6 +349,11 @@
 	c.shown.Store(n)
 }
 
+func (c *Client) keep(n *News) {
+	c.Begin(n)
+	c.OnNews(n)
+}
+
 // Step enrols when there is no news, and again when norm fell silent or does
 // not know this life; each try that fails waits longer, with jitter.
 func (c *Client) Step(now unit.Millis) {
@@ -489,9 +494,7 @@
 // Take keeps news if they are newer: within a life nothing goes back.
 func (c *Client) Take(n *News) {
 	if n.Seq == 0 && n.Base == 0 && (c.News == nil || c.News.Seq == 0) { // a sketch
-		c.News = n
-		c.shown.Store(n)
-		c.OnNews(n)
+		c.keep(n)
 		return
 	}
 	if c.News != nil && n.Seq <= c.News.Seq {
@@ -507,9 +510,7 @@
 	} else {
 		c.whole = false
 	}
-	c.News = n
-	c.shown.Store(n)
-	c.OnNews(n)
+	c.keep(n)
 }
 
 // Lacks tells whether all of the news must be asked for; Asked, that it was.
--- a/internal/voice/home.go
+++ b/internal/voice/home.go
@@ -26,10 +26,7 @@
 		return
 	}
 	if d.home != nil {
-		unit.Log("home-lost", "peer", d.home.Peer().Node, "told_ms", now-d.toldAt)
-		d.shunned[d.home.Peer().Node] = now + 3000
-		d.home.Send(trace.KindHear, trace.Hear{Off: true})
-		d.home = nil
+		d.leaveHome(now, "told_ms", now-d.toldAt)
 	}
 	var near, far []unit.Node
 	for _, n := range d.norm.News.Nodes {
@@ -52,6 +49,15 @@
 	}
 }
 
+// leaveHome ends what a store is to this edge, and shuns it for a while.
+func (d *Daemon) leaveHome(now unit.Millis, why string, since unit.Millis) {
+	peer := d.home.Peer().Node
+	unit.Log("home-lost", "peer", peer, why, since)
+	d.shunned[peer] = now + 3000
+	d.home.Send(trace.KindHear, trace.Hear{Off: true})
+	d.home = nil
+}
+
 // behindFor is how long other stores may have newer news than the home brought.
 const behindFor = unit.Millis(1000)
 
@@ -69,9 +75,7 @@
 		return
 	}
 	if d.home != nil && d.home != l {
-		unit.Log("home-lost", "peer", d.home.Peer().Node, "behind_ms", now-d.newerAt)
-		d.shunned[d.home.Peer().Node] = now + 3000
-		d.home.Send(trace.KindHear, trace.Hear{Off: true})
+		d.leaveHome(now, "behind_ms", now-d.newerAt)
 	}
 	d.hear(now, l)
 }
