--- a/cmd/flux/main.go
+++ b/cmd/flux/main.go
@@ -12,6 +12,7 @@
 
 	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/hold"
+	"oxbowdeck/internal/ingest"
 	"oxbowdeck/internal/lore"
 	"oxbowdeck/internal/unit"
 	"oxbowdeck/internal/voice"
@@ -25,6 +26,9 @@
 			if s.Front == "" || s.Ready == "" {
 				return nil, unit.Errf("settings", s.Name, "listen_addrs.front and listen_addrs.readiness are needed")
 			}
+			if s.Kind == ground.Queue {
+				return ingest.Start(s)
+			}
 			return voice.Start(s)
 		}),
 		run("store", "hold replicas of the topics", func(s *ground.Settings) (daemon, error) {
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -214,6 +214,9 @@
 	c.tell(now)
 }
 
+// Time is the decided time a batch opened now would carry; only a leader knows.
+func (c *Core) Time(now unit.Millis) unit.Millis { return c.ledClock + now - c.ledAt }
+
 // flight is the bytes of this leader's undecided instances.
 func (c *Core) flight() int {
 	n := 0
--- /dev/null
+++ b/internal/dispatch/shard.go
@@ -0,0 +1,452 @@
+package dispatch
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"sort"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/queue"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/trace"
+	"oxbowdeck/internal/unit"
+)
+
+// Shard is one group's messages at this process: the agreed state, and, while it
+// leads, what is waiting, booked and under way.
+type Shard struct {
+	host    *Host
+	group   unit.Group
+	state   *queue.State
+	leading bool
+	rescan  bool // look at every message anew
+	stir    bool // room may have come free
+	timers  timers
+	lines   map[string]*waiting // due messages, by service
+	booked  map[unit.Pos]*booking
+	begins  []queue.Mark
+	said    map[unit.Pos]*said // ends that are not decided yet
+	pauses  map[unit.Pos]*pause
+	flushAt unit.Millis
+	waits   map[accord.ID][]*lane.Link // who is told that a message was taken
+	answers map[*lane.Link]*trace.Flow
+}
+
+// waiting is the messages of one service that may be sent as soon as there is room.
+type waiting struct {
+	q  []unit.Pos
+	in map[unit.Pos]bool
+}
+
+// booking is an attempt from its booking to the decision of its end.
+type booking struct {
+	w       *worker
+	at      unit.Millis
+	try     uint16 // the one before
+	timeout unit.Millis
+	limit   uint16
+	running bool
+	over    bool // the attempt has ended, its end is not decided
+}
+
+type said struct {
+	mark   queue.Mark
+	at     unit.Millis // said last
+	since  unit.Millis
+	spoken bool
+}
+
+// pause keeps a message that failed back for a while.
+type pause struct {
+	till  unit.Millis
+	n     int
+	avoid string
+}
+
+type timer struct {
+	at  unit.Millis
+	pos unit.Pos
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+// Apply, Save, Load, Size and Clock make a shard the group's machine.
+func (s *Shard) Apply(d accord.Decided) { s.state.Apply(d, s.event) }
+
+func (s *Shard) Save() ([]byte, error) { return s.state.Save() }
+
+func (s *Shard) Load(b []byte) error {
+	err := s.state.Load(b)
+	s.rescan = true
+	return err
+}
+
+func (s *Shard) Size() int          { return s.state.Bytes() }
+func (s *Shard) Clock() unit.Millis { return s.state.Clock() }
+
+func (s *Shard) event(e queue.Event) {
+	now := unit.Steady()
+	switch e.Verb {
+	case queue.Accept:
+		for _, l := range s.waits[e.ID] {
+			if s.answers == nil {
+				s.answers = map[*lane.Link]*trace.Flow{}
+			}
+			if s.answers[l] == nil {
+				s.answers[l] = &trace.Flow{}
+			}
+			s.answers[l].Outcomes = append(s.answers[l].Outcomes, trace.Outcome{ID: e.ID})
+		}
+		delete(s.waits, e.ID)
+		if s.leading && e.OK {
+			s.look(now, e.Row)
+		}
+	case queue.Begin:
+		s.begun(now, e)
+	case queue.End:
+		s.over(now, e)
+	}
+}
+
+// begun takes the decision that an attempt begins. Only who asked for it sends
+// it, and only while it leads and not much time has passed: whoever leads next
+// counts the attempt's time from the decision.
+func (s *Shard) begun(now unit.Millis, e queue.Event) {
+	pos := e.Mark.Pos
+	mine := e.By == s.host.Self.Addr && e.Life == s.host.Self.Life
+	b := s.booked[pos]
+	if b != nil && (b.running || b.over || b.try != e.Mark.Try) {
+		b = nil
+	}
+	if !mine {
+		if b != nil && e.OK {
+			s.release(pos) // another leads
+		}
+		if s.leading && e.OK {
+			s.look(now, e.Row)
+		}
+		return
+	}
+	if !e.OK {
+		if b != nil {
+			s.release(pos)
+			s.after(now+50, pos)
+		}
+		return
+	}
+	_, leads := s.host.Group(s.group).Lead()
+	if b == nil || !leads || now-b.at > s.host.B.Late {
+		if b != nil {
+			s.release(pos)
+		}
+		s.say(now, queue.Mark{Pos: pos, Try: e.Row.Tries, Outcome: queue.NotRun})
+		return
+	}
+	b.running = true
+	msg := e.Row.Msg
+	a := &attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial}
+	if !b.w.fixed {
+		a.worker = b.w.ID
+	}
+	try := e.Row.Tries
+	go func() {
+		r := a.run(&b.w.pool)
+		s.host.Do(func() { s.ran(pos, try, b, r) })
+	}()
+}
+
+// ran takes what came of an attempt.
+func (s *Shard) ran(pos unit.Pos, try uint16, b *booking, r result) {
+	now := unit.Steady()
+	b.over = true
+	b.w.under--
+	b.w.note(now, r, s.host.B.Shut)
+	s.stir = true
+	if r.outcome == queue.Lost || r.outcome == queue.Failed {
+		unit.Log("attempt", "group", s.group, "pos", pos, "try", try, "outcome", r.outcome, "worker", b.w.ID, "status", r.status, "err", r.err)
+	}
+	p := s.pauses[pos]
+	if r.outcome == queue.Done || r.outcome == queue.Never {
+		delete(s.pauses, pos)
+	} else {
+		if p == nil {
+			p = &pause{}
+			s.pauses[pos] = p
+		}
+		p.avoid = b.w.ID
+		wait := unit.Millis(15)
+		if r.outcome != queue.NotRun {
+			p.n++
+			wait = min(unit.Millis(60)<<(2*min(p.n-1, 4)), 4000)
+			if b.w.fixed && r.outcome == queue.Failed {
+				wait *= 3 // there is no other to turn to, and the attempts are counted
+			}
+		} else if b.w.fixed {
+			wait = 60
+		}
+		p.till = now + wait/2 + rand.N(wait)
+	}
+	s.say(now, queue.Mark{Pos: pos, Try: try, Outcome: r.outcome, Seal: r.seal, Limit: b.limit})
+}
+
+// say has what became of an attempt decided: told again until it is.
+func (s *Shard) say(now unit.Millis, m queue.Mark) {
+	s.said[m.Pos] = &said{mark: m, since: now}
+}
+
+// over takes the decision of an attempt's end, or of a message's.
+func (s *Shard) over(now unit.Millis, e queue.Event) {
+	pos := e.Mark.Pos
+	ended := e.Row == nil || e.Row.End != queue.Open
+	if x := s.said[pos]; x != nil && (ended || x.mark.Try <= e.Mark.Try) {
+		delete(s.said, pos)
+	}
+	if b := s.booked[pos]; b != nil && b.over && (ended || b.try < e.Mark.Try) {
+		delete(s.booked, pos)
+	}
+	switch {
+	case !s.leading:
+	case !ended:
+		s.look(now, e.Row)
+	case e.OK && e.Key != "":
+		s.look(now, s.state.Next(e.Key))
+	}
+	if ended {
+		delete(s.pauses, pos)
+	}
+}
+
+// release gives the room of an attempt back that is not sent.
+func (s *Shard) release(pos unit.Pos) {
+	if b := s.booked[pos]; b != nil && !b.running {
+		b.w.under--
+		delete(s.booked, pos)
+		s.stir = true
+	}
+}
+
+func (s *Shard) after(at unit.Millis, pos unit.Pos) { heap.Push(&s.timers, timer{at, pos}) }
+
+// look decides what is to be done for a message now: nothing, later, or that it
+// waits for room at its service.
+func (s *Shard) look(now unit.Millis, r *queue.Row) {
+	if r == nil || r.End != queue.Open || !s.leading || s.booked[r.Pos] != nil || s.said[r.Pos] != nil || !s.state.First(r) {
+		return
+	}
+	clock := s.host.Group(s.group).Time(now)
+	switch p := s.pauses[r.Pos]; {
+	case r.Runs && clock < r.RunEnd: // sent by one that led before
+		s.after(now+r.RunEnd-clock+5, r.Pos)
+		return
+	case clock < r.Due:
+		s.after(now+r.Due-clock, r.Pos)
+		return
+	case p != nil && now < p.till:
+		s.after(p.till, r.Pos)
+		return
+	case r.Msg.Release > s.host.config.Release:
+		s.after(now+30, r.Pos) // taken under a configuration that is not here yet
+		return
+	}
+	route := s.host.config.Route(r.Msg.Host, r.Msg.Path)
+	if route == nil || route.Class != rule.Deferred {
+		s.say(now, queue.Mark{Pos: r.Pos, Try: r.Tries, Outcome: queue.Dropped})
+		return
+	}
+	l := s.lines[route.Service]
+	if l == nil {
+		l = &waiting{in: map[unit.Pos]bool{}}
+		s.lines[route.Service] = l
+	}
+	if !l.in[r.Pos] {
+		l.in[r.Pos] = true
+		l.q = append(l.q, r.Pos)
+		s.stir = true
+	}
+}
+
+// send books room for what waits.
+func (s *Shard) send(now unit.Millis) {
+	for name, l := range s.lines {
+		svc := s.host.services[name]
+		if svc == nil {
+			l.q, l.in = nil, map[unit.Pos]bool{}
+			s.rescan = true
+			continue
+		}
+		n := 0
+		for ; n < len(l.q); n++ {
+			pos := l.q[n]
+			r := s.state.Row(pos)
+			if r == nil || r.End != queue.Open || s.booked[pos] != nil || s.said[pos] != nil || !s.state.First(r) {
+				delete(l.in, pos)
+				continue
+			}
+			route := s.host.config.Route(r.Msg.Host, r.Msg.Path)
+			if route == nil || route.Service != name || route.Class != rule.Deferred {
+				delete(l.in, pos)
+				s.after(now, pos)
+				continue
+			}
+			avoid := ""
+			if p := s.pauses[pos]; p != nil {
+				avoid = p.avoid
+			}
+			w := s.host.pick(svc, now, avoid)
+			if w == nil || !s.host.may(svc, now, len(l.q)-n) {
+				break
+			}
+			delete(l.in, pos)
+			w.under++
+			timeout := unit.Millis(route.GuardMs)
+			s.booked[pos] = &booking{w: w, at: now, try: r.Tries, timeout: timeout, limit: uint16(max(1, route.Attempts))}
+			s.begins = append(s.begins, queue.Mark{Pos: pos, Try: r.Tries, For: timeout + 60})
+		}
+		l.q = l.q[n:]
+		if len(l.q) == 0 {
+			l.q = nil
+		}
+	}
+}
+
+// lookAll takes up the duty: everything that has not ended is looked at.
+func (s *Shard) lookAll(now unit.Millis) {
+	s.rescan, s.timers, s.lines = false, nil, map[string]*waiting{}
+	var all []*queue.Row
+	s.state.Each(func(r *queue.Row) { all = append(all, r) })
+	sort.Slice(all, func(i, j int) bool { return all[i].Pos < all[j].Pos })
+	for _, r := range all {
+		s.look(now, r)
+	}
+}
+
+func (s *Shard) step(now unit.Millis) unit.Millis {
+	gr := s.host.Group(s.group)
+	if gr == nil {
+		return now + 200
+	}
+	for l, f := range s.answers {
+		l.Send(trace.KindKnown, *f)
+	}
+	s.answers = nil
+	lead, here := gr.Lead()
+	if here != s.leading {
+		s.leading = here
+		s.rescan = here
+		if !here {
+			s.timers, s.lines, s.begins = nil, map[string]*waiting{}, nil
+			clear(s.pauses)
+			clear(s.waits)
+		}
+	}
+	if s.leading {
+		if s.rescan {
+			s.lookAll(now)
+		}
+		for len(s.timers) > 0 && s.timers[0].at <= now {
+			s.look(now, s.state.Row(heap.Pop(&s.timers).(timer).pos))
+		}
+		s.send(now)
+	}
+	s.stir = false
+	next := now + 200
+	if now >= s.flushAt {
+		if s.flush(now, gr, lead, here) {
+			s.flushAt = now + s.host.B.Mark
+		}
+	} else if len(s.begins) > 0 || len(s.said) > 0 {
+		next = s.flushAt
+	}
+	for pos, b := range s.booked {
+		if !b.running && now-b.at > 4*s.host.B.Late {
+			s.release(pos) // its beginning was never decided, or will not be sent
+			s.after(now, pos)
+		}
+	}
+	if s.leading {
+		if len(s.timers) > 0 {
+			next = min(next, s.timers[0].at)
+		}
+		for _, l := range s.lines {
+			if len(l.q) > 0 {
+				next = min(next, now+10)
+			}
+		}
+	}
+	return max(next, now+1)
+}
+
+// sayAgain is how long the decision of an end may take before it is said again.
+const (
+	sayAgain = unit.Millis(300)
+	sayFor   = unit.Millis(20000)
+)
+
+// flush puts beginnings and ends to the group.
+func (s *Shard) flush(now unit.Millis, gr Group, lead unit.Node, here bool) (did bool) {
+	if here && len(s.begins) > 0 {
+		if !s.put(gr, lead, here, queue.Command{Verb: queue.Begin, Marks: s.begins, By: s.host.Self.Addr, Life: s.host.Self.Life}) {
+			for _, m := range s.begins {
+				s.release(m.Pos)
+				s.after(now+50, m.Pos)
+			}
+		}
+		s.begins, did = nil, true
+	}
+	var ends []queue.Mark
+	for pos, x := range s.said {
+		if x.spoken && now-x.at < sayAgain {
+			continue
+		}
+		if now-x.since > sayFor {
+			delete(s.said, pos)
+			delete(s.booked, pos)
+			continue
+		}
+		x.spoken, x.at = true, now
+		ends = append(ends, x.mark)
+	}
+	if len(ends) > 0 && lead != "" {
+		did = true
+		s.put(gr, lead, here, queue.Command{Verb: queue.End, Marks: ends})
+	}
+	return did
+}
+
+func (s *Shard) put(gr Group, lead unit.Node, here bool, c queue.Command) bool {
+	r, err := s.host.request(c)
+	if err != nil {
+		unit.Log("encode-failed", "err", err)
+		return false
+	}
+	if here {
+		return gr.Submit(r) == nil
+	}
+	s.host.Send(lead, trace.KindPropose, trace.Propose{Group: s.group, Reqs: []accord.Request{r}})
+	return true
+}
+
+// idle tells whether nothing is under way from here.
+func (s *Shard) idle() bool { return len(s.booked) == 0 && len(s.said) == 0 }
+
+// Idle tells whether nothing is under way from this process.
+func (h *Host) Idle() bool {
+	for _, s := range h.shards {
+		if !s.idle() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/worker.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bufio"
+
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/unit"
+)
+
+// worker is one life of a worker as this process sees it: what it said of itself,
+// and what became of what was sent to it. Its fields belong to the actor; the
+// pool to whoever sends.
+type worker struct {
+	rule.Worker
+	fixed    bool
+	pool     pool
+	under    int // attempts sent from here and not ended
+	others   int // what it told of its load beyond those
+	toldAt   unit.Millis
+	warmAt   unit.Millis // it is slow until then
+	strikes  int         // silences, resets and refused connections in a row
+	errors   float64     // share of failures among its answers, lately
+	answers  int
+	shutTill unit.Millis // nothing is sent to it until then
+	shutFor  unit.Millis
+	trial    bool // after that: one attempt at a time until one succeeds
+	busyTill unit.Millis
+}
+
+// loadFor is how long a load that was told counts.
+const loadFor = unit.Millis(400)
+
+// load is how full a worker seems, in shares of its slots.
+func (w *worker) load(now unit.Millis) float64 {
+	n := float64(w.under)
+	if now-w.toldAt < loadFor {
+		n += float64(w.others)
+	}
+	x := (n + 0.5) / float64(max(1, w.Slots))
+	if now < w.warmAt {
+		x *= 1.6
+	}
+	return x
+}
+
+// free tells whether an attempt may be sent to a worker now. most bounds the
+// connections to it from here.
+func (w *worker) free(now unit.Millis, most int) bool {
+	switch {
+	case w.Gone || w.Draining || now < w.shutTill || now < w.busyTill || w.under >= most:
+		return false
+	case w.trial:
+		return w.under == 0
+	}
+	return true
+}
+
+// note takes what became of an attempt into account.
+func (w *worker) note(now unit.Millis, r result, shut unit.Millis) {
+	if r.slots > 0 {
+		w.others, w.toldAt = max(0, r.running+r.waiting-w.under-1), now
+		if w.fixed || w.Slots == 0 {
+			w.Slots = r.slots
+		}
+	}
+	bad := false
+	switch r.kind {
+	case answered:
+		w.strikes = 0
+		w.answers++
+		if r.failed {
+			w.errors = 0.8*w.errors + 0.2
+		} else {
+			w.errors *= 0.8
+		}
+		// a fixed endpoint has no other to turn to, and each failure counts
+		bad = w.errors > 0.45 && w.answers >= 4 && !w.fixed
+	case refused:
+		w.busyTill = now + 20 + rand.N(unit.Millis(30))
+		return
+	case silent:
+		w.strikes++
+		bad = w.strikes >= 2 || w.trial
+	}
+	if bad {
+		w.shutFor = min(max(2*w.shutFor, shut), 8*shut)
+		if w.fixed {
+			w.shutFor = min(w.shutFor, 2*shut)
+		}
+		w.shutTill, w.trial, w.errors, w.answers = now+w.shutFor/2+rand.N(w.shutFor), true, 0.3, 0
+		unit.Log("worker-shut", "worker", w.ID, "service", w.Service, "for_ms", w.shutTill-now, "strikes", w.strikes)
+		w.pool.drop()
+	} else if r.kind == answered && !r.failed {
+		w.trial, w.shutFor = false, 0
+	}
+}
+
+// pool is the open connections to one worker that rest.
+type pool struct {
+	mu   sync.Mutex
+	idle []*line
+}
+
+// line is a connection to a worker.
+type line struct {
+	c    net.Conn
+	r    *bufio.Reader
+	till time.Time // the worker keeps it for so long
+	used bool
+}
+
+// keepIdle is how long a connection rests when its worker does not say how long
+// it keeps one; of what it says, less is used: the worker must not be faster.
+const keepIdle = 2 * time.Second
+
+// take gives a connection that rests, or nil.
+func (p *pool) take(now time.Time) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		l := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		if now.Before(l.till) && l.r.Buffered() == 0 {
+			return l
+		}
+		l.c.Close()
+	}
+	return nil
+}
+
+func (p *pool) put(l *line, keep time.Duration) {
+	l.till, l.used = time.Now().Add(keep), true
+	p.mu.Lock()
+	p.idle = append(p.idle, l)
+	p.mu.Unlock()
+}
+
+// tidy closes what has rested for too long.
+func (p *pool) tidy(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, l := range p.idle {
+		if now.Before(l.till) {
+			p.idle[n] = l
+			n++
+		} else {
+			l.c.Close()
+		}
+	}
+	p.idle = p.idle[:n]
+}
+
+// drop closes all that rest.
+func (p *pool) drop() { p.tidy(time.Now().Add(time.Hour)) }
+
+// dial opens a connection.
+func dial(addr string, wait, silence time.Duration) (*line, error) {
+	c, err := net.DialTimeout("tcp", addr, wait)
+	if err != nil {
+		return nil, unit.Err("dial", addr, err)
+	}
+	lane.Tune(c, silence)
+	return &line{c: c, r: bufio.NewReaderSize(c, 2<<10)}, nil
+}
+
+// keepOf reads how long a worker keeps a connection that rests.
+func keepOf(header string) time.Duration {
+	for _, part := range strings.Split(header, ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if s, err := strconv.ParseFloat(v, 64); err == nil && s >= 0 {
+				return time.Duration(s * 0.7 * float64(time.Second))
+			}
+		}
+	}
+	return keepIdle
+}
--- a/internal/edict/config.cue
+++ b/internal/edict/config.cue
@@ -1,8 +1,8 @@
 // What an operator's configuration must hold. Fields not named here pass.
 #Config: {
 	config_release!: int & >0
-	routing_entries!: [...#Space]
-	service_set!: [...]
+	routing_entries!: [...#Route]
+	service_set!: [...#Service]
 	limits!: {
 		header_max_bytes?: int & >0
 		body_max_bytes?:   int & >0
@@ -13,15 +13,33 @@
 	}
 	...
 }
-#Space: {
+#Route: {
 	label!:          string
 	host_id!:        string
 	path_prefix!:    =~"^[!-~]*$"
-	route_class!:    "retained" | "live"
+	route_class!:    "retained" | "live" | "deferred"
 	guard_timer_ms!: int & >0
-	target_ms?:     number & >=0
-	prio_level?:    int & >=0
-	keep_s!:         number & >=0
-	ordered!:        "originator" | "topic"
+	target_ms?:      number & >=0
+	prio_level?:     int & >=0
+	if route_class == "deferred" {
+		service_ref!:     !=""
+		max_attempts!:    int & >0 & <=1000
+		hold_s!:          number & >0
+		in_sequence?:     bool
+		start_target_ms?: number & >=0
+	}
+	if route_class != "deferred" {
+		keep_s!:  number & >=0
+		ordered!: "originator" | "topic"
+	}
+	...
+}
+#Service: {
+	label!:          !=""
+	health_path?:    string
+	conn_limit?:     int & >=0
+	rate_per_s?:     number & >=0
+	dedup_capable?:  bool
+	fixed_endpoint?: null | =~"^[0-9.]+:[0-9]+$"
 	...
 }
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -52,6 +52,9 @@
 	foundAt  unit.Millis
 	leaving  bool
 	once     sync.Once
+	beats    map[string]unit.Millis // workers, and when each was heard here
+	tendAt   unit.Millis
+	ledAt    unit.Millis // this process leads since
 }
 
 type life struct {
@@ -95,7 +98,7 @@
 func Start(set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(1024), waiting: map[accord.ID]*asked{},
 		heirs: map[*lane.Link]unit.Slot{}, missed: map[life]map[unit.Node]unit.Millis{}, shards: map[unit.Group]*shardWord{},
-		seeds: ground.Norms(set)}
+		seeds: ground.Norms(set), beats: map[string]unit.Millis{}}
 	addr := set.Inner(ground.PortNorm)
 	var err error
 	if d.vault, err = vault.Open(set.DataDir, false); err != nil {
@@ -280,6 +283,12 @@
 			if x, ok := lane.Get[rule.Vacant](b); ok {
 				d.vacant(unit.Steady(), x)
 			}
+		case rule.KindBeats:
+			if x, ok := lane.Get[rule.Beats](b); ok {
+				for _, id := range x.IDs {
+					d.beats[id] = unit.Steady()
+				}
+			}
 		case rule.KindSeated:
 			if x, ok := lane.Get[rule.Seated](b); ok {
 				d.Ask(Command{Verb: Seated, Seated: &x}, 3000, func(Result, bool) {})
@@ -494,6 +503,10 @@
 			d.join(now)
 		}
 	}
+	if due(d.tendAt) {
+		d.tendAt = now + 400
+		d.tend(now)
+	}
 	if due(d.dutyAt) {
 		d.dutyAt = now + 250
 		d.duties(now)
@@ -568,7 +581,7 @@
 		return
 	}
 	if stores >= 2*d.set.Losses+1 && now-d.foundAt >= 1000 {
-		shards := d.set.Int("shards", min(max(2, stores/2), 16))
+		shards := d.set.Int("shards", d.state.shards(d.set.Kind == ground.Queue, stores))
 		d.Ask(Command{Verb: Found, Shards: shards, Losses: d.set.Losses}, 1000, func(Result, bool) {})
 	}
 }
--- a/internal/edict/state.go
+++ b/internal/edict/state.go
@@ -17,20 +17,22 @@
 type Verb uint8
 
 const (
-	Put     Verb = iota + 1 // a configuration
-	Enroll                  // a process began a life
-	Leave                   // a process's life ended
-	Found                   // place the shards
-	Read                    // nothing: its place in the order makes a read current
-	Retire                  // empty a storage machine
-	Seated                  // a shard's membership is in force
-	Follow                  // a store is to follow a shard
-	Promote                 // a follower that is level takes a silent member's seat
-	Drop                    // a store need not follow a shard any more
+	Put        Verb = iota + 1 // a configuration
+	Enroll                     // a process began a life
+	Leave                      // a process's life ended
+	Found                      // place the shards
+	Read                       // nothing: its place in the order makes a read current
+	Retire                     // empty a storage machine
+	Seated                     // a shard's membership is in force
+	Follow                     // a store is to follow a shard
+	Promote                    // a follower that is level takes a silent member's seat
+	Drop                       // a store need not follow a shard any more
+	Register                   // a worker began, or changed what it says of itself
+	Unregister                 // a worker left, or fell silent
 )
 
 func (v Verb) String() string {
-	return [...]string{"none", "put", "enrol", "leave", "found", "read", "retire", "seated", "follow", "promote", "drop"}[v]
+	return [...]string{"none", "put", "enrol", "leave", "found", "read", "retire", "seated", "follow", "promote", "drop", "register", "unregister"}[v]
 }
 
 // Command to norm's group.
@@ -48,6 +50,8 @@
 	Group unit.Group    `cbor:"9,keyasint,omitempty"`
 	From  accord.Member `cbor:"10,keyasint,omitempty"`
 	To    accord.Member `cbor:"11,keyasint,omitempty"`
+
+	Worker *rule.Worker `cbor:"12,keyasint,omitempty"`
 }
 
 // Result of a command.
@@ -88,6 +92,8 @@
 	ConfigAt unit.Slot // instances of the last changes
 	NewsAt   unit.Slot
 	Forgot   unit.Slot
+
+	Workers []rule.Worker // by id
 }
 
 const (
@@ -175,6 +181,10 @@
 		return Done, c.Seated != nil && s.seated(*c.Seated)
 	case Follow, Promote, Drop:
 		return Done, int(c.Group) < len(s.Shards) && s.move(&s.Shards[c.Group], c)
+	case Register:
+		return Done, c.Worker != nil && s.register(*c.Worker)
+	case Unregister:
+		return Done, c.Worker != nil && s.unregister(*c.Worker)
 	}
 	return Done, false
 }
@@ -441,5 +451,5 @@
 
 // News is the state as the data plane is told it.
 func (s *State) News() *rule.News {
-	return &rule.News{Seq: s.NewsAt, Forgot: s.Forgot, Release: s.Release, ConfigAt: s.ConfigAt, Config: s.Config, Nodes: s.Nodes, Shards: s.Shards}
+	return &rule.News{Seq: s.NewsAt, Forgot: s.Forgot, Release: s.Release, ConfigAt: s.ConfigAt, Config: s.Config, Nodes: s.Nodes, Shards: s.Shards, Workers: s.Workers}
 }
--- /dev/null
+++ b/internal/edict/workers.go
@@ -0,0 +1,168 @@
+package edict
+
+import (
+	"sort"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/unit"
+)
+
+// keepLeft is how many workers that are gone stay known, so that a late call of
+// one of them is recognised.
+const keepLeft = 512
+
+// worker gives where an id stands, or would.
+func (s *State) worker(id string) (int, *rule.Worker) {
+	i := sort.Search(len(s.Workers), func(i int) bool { return s.Workers[i].ID >= id })
+	if i < len(s.Workers) && s.Workers[i].ID == id {
+		return i, &s.Workers[i]
+	}
+	return i, nil
+}
+
+// register takes what a worker says of itself, unless it said something later,
+// or left. What is read by others is never written to: the list is copied.
+func (s *State) register(w rule.Worker) bool {
+	i, old := s.worker(w.ID)
+	if old != nil && (old.Left || w.Seq <= old.Seq || old.Draining && !w.Draining) {
+		return false
+	}
+	w.At, w.Gone, w.Left = s.Slot, false, false
+	next := append([]rule.Worker(nil), s.Workers...)
+	if old != nil {
+		if sameWorker(*old, w) {
+			return false
+		}
+		next[i] = w
+	} else {
+		next = append(next, rule.Worker{})
+		copy(next[i+1:], next[i:])
+		next[i] = w
+	}
+	s.Workers = next
+	return true
+}
+
+// unregister ends a life. One that fell silent may be heard again; one that
+// left is gone for good, also when it was never heard of.
+func (s *State) unregister(w rule.Worker) bool {
+	i, old := s.worker(w.ID)
+	next := append([]rule.Worker(nil), s.Workers...)
+	switch {
+	case old == nil && !w.Left:
+		return false
+	case old == nil:
+		next = append(next, rule.Worker{})
+		copy(next[i+1:], next[i:])
+		next[i] = rule.Worker{ID: w.ID}
+	case old.Gone && (old.Left || !w.Left), !w.Left && w.Seq != old.Seq:
+		return false
+	}
+	x := &next[i]
+	x.Gone, x.Left, x.At = true, w.Left, s.Slot
+	s.Workers = next
+	s.forgetWorkers()
+	return true
+}
+
+// forgetWorkers drops the one that has been gone for longest, past a bound.
+func (s *State) forgetWorkers() {
+	gone, first := 0, -1
+	for i, w := range s.Workers {
+		if w.Gone {
+			if gone++; first < 0 || w.At < s.Workers[first].At {
+				first = i
+			}
+		}
+	}
+	if gone > keepLeft {
+		s.Forgot = s.Slot
+		s.Workers = append(s.Workers[:first:first], s.Workers[first+1:]...)
+	}
+}
+
+// sameWorker tells whether a worker says what it said before.
+func sameWorker(a, b rule.Worker) bool {
+	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining && a.Gone == b.Gone
+}
+
+// Beat takes a worker's call: at once when it tells nothing new, else once the
+// group agreed. done gets whether it lasts.
+func (d *Daemon) Beat(w rule.Worker, wait unit.Millis, done func(bool)) {
+	d.actor.Do(func() {
+		_, old := d.state.worker(w.ID)
+		d.beats[w.ID] = unit.Steady()
+		if old != nil && (w.Seq <= old.Seq || old.Left || sameWorker(*old, w)) {
+			done(true)
+			return
+		}
+		d.Ask(Command{Verb: Register, Worker: &w}, wait, func(_ Result, ok bool) { done(ok) })
+	})
+}
+
+// Left takes a worker's word that it ends.
+func (d *Daemon) Left(id string, wait unit.Millis, done func(bool)) {
+	d.actor.Do(func() {
+		delete(d.beats, id)
+		d.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: id, Left: true}}, wait, func(_ Result, ok bool) { done(ok) })
+	})
+}
+
+// tend looks after the workers: who is heard is told to the leader, who ends
+// those that nobody has heard for some beats.
+func (d *Daemon) tend(now unit.Millis) {
+	core := d.part.Core
+	_, lead := core.Lead()
+	if core.Role() != accord.Leader {
+		d.ledAt = now
+		if lead != "" && len(d.beats) > 0 {
+			var b rule.Beats
+			for id := range d.beats {
+				b.IDs = append(b.IDs, id)
+			}
+			sort.Strings(b.IDs)
+			if d.hub.To(lead).Send(rule.KindBeats, b) {
+				clear(d.beats)
+			}
+		}
+		return
+	}
+	patience := unit.Millis(d.set.BeatMs * d.set.Int("worker_beats", 4))
+	living := map[string]bool{}
+	for i := range d.state.Workers {
+		w := &d.state.Workers[i]
+		if w.Gone {
+			continue
+		}
+		living[w.ID] = true
+		if now-max(d.beats[w.ID], d.ledAt) > patience {
+			unit.Log("worker-silent", "worker", w.ID, "service", w.Service)
+			d.beats[w.ID] = now // told again if it does not come about
+			d.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: w.ID, Seq: w.Seq}}, 1000, func(Result, bool) {})
+		}
+	}
+	for id, at := range d.beats {
+		if !living[id] && now-at > patience {
+			delete(d.beats, id)
+		}
+	}
+}
+
+// shards gives how many shards a fleet is founded with: half as many as it has
+// stores, 2 to 16; of a queue, a multiple of the zones, so that each zone leads
+// as many as the others and its edges can hand in without leaving it.
+func (s *State) shards(queue bool, stores int) int {
+	n := min(max(2, stores/2), 16)
+	if !queue {
+		return n
+	}
+	zones := map[unit.Zone]bool{}
+	for _, x := range s.Nodes {
+		if x.Duty == rule.Store && !x.Gone {
+			zones[x.Zone] = true
+		}
+	}
+	z := max(1, len(zones))
+	return max(z, (n+z-1)/z*z)
+}
--- a/internal/ground/settings.cue
+++ b/internal/ground/settings.cue
@@ -26,9 +26,21 @@
 	timing_bounds_config_apply_ms: >=0
 	timing_bounds_drain_ms:        >=0
 	timing_bounds_grace_s:         >=0
-	timing_bounds_ping_s:          >0
+	timing_bounds_ping_s:          >=0
 	timing_bounds_rejoin_s:        >=0
-	timing_bounds_resend_s:        >0
+	timing_bounds_resend_s:        >=0
+	timing_bounds_report_s:        >=0
+	timing_bounds_ceiling_window_s: >=0
+	deployment:                     "realtime" | "queue"
+}
+
+// What the kinds of deployment ask for beyond that.
+kinds: {
+	realtime: {
+		timing_bounds_ping_s:   >0
+		timing_bounds_resend_s: >0
+	}
+	queue: timing_bounds_report_s: >0
 }
 #Addr: =~"^[0-9.]+:[0-9]+$"
 #Port: int & >0 & <65536
@@ -84,4 +96,10 @@
 	config_kb?:         int & >=1 & <=65536
 	settings_look_s?:   int & >=1 & <=3600
 	gc_percent?:        int & >=5 & <=1000
+	mark_ms?:           int & >=1 & <=1000
+	run_late_ms?:       int & >=10 & <=60000
+	worker_dial_ms?:    int & >=10 & <=60000
+	worker_beats?:      int & >=2 & <=100
+	eject_ms?:          int & >=10 & <=600000
+	answer_wait_ms?:    int & >=10 & <=60000
 })
--- a/internal/ground/settings.go
+++ b/internal/ground/settings.go
@@ -27,7 +27,13 @@
 //go:embed settings.cue
 var schema string
 
-// Settings is the settings file. The tag is the field's name there.
+// The kinds of deployment; a settings file that names none is of the first.
+const (
+	Realtime = "realtime"
+	Queue    = "queue"
+)
+
+// Settings is the settings file. The tag is the field's name there, or its names.
 type Settings struct {
 	Name      string         `set:"node_name" json:"node_name"`
 	Role      string         `set:"role" json:"role"`
@@ -54,9 +60,12 @@
 	ApplyMs   int            `set:"timing_bounds.config_apply_ms" json:"timing_bounds_config_apply_ms"`
 	DrainMs   int            `set:"timing_bounds.drain_ms" json:"timing_bounds_drain_ms"`
 	GraceS    float64        `set:"timing_bounds.grace_s" json:"timing_bounds_grace_s"`
-	PingS     float64        `set:"timing_bounds.ping_s" json:"timing_bounds_ping_s"`
-	RejoinS   float64        `set:"timing_bounds.rejoin_s" json:"timing_bounds_rejoin_s"`
-	ResendS   float64        `set:"timing_bounds.resend_s" json:"timing_bounds_resend_s"`
+	PingS     float64        `set:"timing_bounds.ping_s,timing_bounds.keepalive_s" json:"timing_bounds_ping_s"`
+	RejoinS   float64        `set:"timing_bounds.rejoin_s,timing_bounds.resume_window_s" json:"timing_bounds_rejoin_s"`
+	ResendS   float64        `set:"timing_bounds.resend_s,timing_bounds.redelivery_s" json:"timing_bounds_resend_s"`
+	ReportS   float64        `set:"timing_bounds.report_s" json:"timing_bounds_report_s"`
+	WindowS   float64        `set:"timing_bounds.ceiling_window_s" json:"timing_bounds_ceiling_window_s"`
+	Kind      string         `set:"deployment" json:"deployment"`
 	Extra     map[string]int `json:"-"` // tuning.* of this project
 }
 
@@ -72,11 +81,11 @@
 
 // Parse reads lines of a.b=value and checks them against the schema.
 func Parse(b []byte) (*Settings, error) {
-	s := &Settings{Extra: map[string]int{}}
+	s := &Settings{Extra: map[string]int{}, Kind: Realtime}
 	fields := map[string]reflect.Value{}
 	v := reflect.ValueOf(s).Elem()
 	for i := 0; i < v.NumField(); i++ {
-		if n := v.Type().Field(i).Tag.Get("set"); n != "" {
+		for _, n := range strings.Split(v.Type().Field(i).Tag.Get("set"), ",") {
 			fields[n] = v.Field(i)
 		}
 	}
@@ -106,12 +115,15 @@
 		return nil, err
 	}
 	ctx := cuecontext.New()
-	want := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Settings"))
-	if err := want.Err(); err != nil {
-		return nil, err
-	}
-	if err := want.Unify(ctx.Encode(s)).Validate(cue.Concrete(true)); err != nil {
-		return nil, FirstError(err)
+	all := ctx.CompileString(schema)
+	for _, path := range []string{"#Settings", "kinds." + s.Kind} {
+		want := all.LookupPath(cue.ParsePath(path))
+		if err := want.Err(); err != nil {
+			return nil, err
+		}
+		if err := want.Unify(ctx.Encode(s)).Validate(cue.Concrete(true)); err != nil {
+			return nil, FirstError(err)
+		}
 	}
 	if len(s.Extra) > 0 {
 		want := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Tuning"))
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -13,6 +13,7 @@
 
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/choir"
+	"oxbowdeck/internal/dispatch"
 	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/kin"
 	"oxbowdeck/internal/lane"
@@ -48,6 +49,7 @@
 	leaving   bool
 	full      bool // the disk is nearly full: nothing new is taken
 	kin       *kin.Watch
+	queue     *dispatch.Host // of a deployment that takes in messages
 }
 
 type shard struct {
@@ -124,12 +126,19 @@
 		TailAt: set.Int("log_tail_kb", 2048) << 10, SnapAt: set.Int("snapshot_kb", 8<<10) << 10, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal, OnLead: d.onLead}
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
 	d.pulse = unit.Millis(set.Int("pulse_ms", 100))
-	d.hub.Far = d.norm.Far
+	if set.Kind == ground.Queue {
+		d.queue = d.messages() // bodies come deflated: the links need not do it again
+	} else {
+		d.hub.Far = d.norm.Far
+	}
 	var news rule.News
 	if found, err := d.vault.Get("news", &news); err != nil {
 		return nil, err
 	} else if found { // serve under the last news before norm answers
 		d.norm.Begin(&news)
+		if d.queue != nil {
+			d.queue.News(&news, unit.Steady())
+		}
 		if err := d.place(&news); err != nil {
 			return nil, err
 		}
@@ -144,7 +153,7 @@
 		return nil, err
 	}
 	go d.actor.Run(d.step)
-	unit.Log("store-started", "node", set.Name, "addr", addr, "disk", disk, "shards", len(d.shards))
+	unit.Log("store-started", "node", set.Name, "addr", addr, "disk", disk, "shards", len(d.ch.Parts))
 	return d, nil
 }
 
@@ -162,14 +171,23 @@
 		}
 		p := d.ch.Parts[g]
 		if p == nil && held {
-			s := &shard{d: d, group: g, state: tale.New(Bounds(d.set))}
+			var s *shard
+			var m choir.Machine
+			if d.queue != nil {
+				m = d.queue.Open(g)
+			} else {
+				s = &shard{d: d, group: g, state: tale.New(Bounds(d.set))}
+				m = s
+			}
 			var err error
-			if p, err = d.ch.Open(Conf(d.set, g, me), sh.Founders, s); errors.Is(err, vault.ErrBusy) {
+			if p, err = d.ch.Open(Conf(d.set, g, me), sh.Founders, m); errors.Is(err, vault.ErrBusy) {
 				continue // tried again with the next duties
 			} else if err != nil {
 				return err
 			}
-			d.shards[g] = s
+			if s != nil {
+				d.shards[g] = s
+			}
 		}
 		if p == nil {
 			continue
@@ -213,6 +231,9 @@
 			f.link.Send(trace.KindBye, trace.Bye{Groups: []unit.Group{g}})
 		}
 		d.ch.Close(g)
+		if d.queue != nil {
+			d.queue.Close(g)
+		}
 		delete(d.shards, g)
 		delete(d.leads, g)
 		delete(d.idle, g)
@@ -234,7 +255,10 @@
 	d.kin.Nodes(n.Nodes, now)
 	d.dutyAt = min(d.dutyAt, now+20) // take a change up at once
 	unit.Log("news", "seq", n.Seq, "release", n.Release, "nodes", len(n.Nodes), "shards", len(n.Shards))
-	news := rule.Sheaf{News: n}
+	if d.queue != nil {
+		d.queue.News(n, now)
+	}
+	news := rule.Sheaf{News: n.ForEdges()}
 	for l, seq := range d.hearers {
 		d.hearers[l] = news.Give(l, seq)
 	}
@@ -330,7 +354,7 @@
 func (d *Daemon) frame(l *lane.Link, k lane.Kind, b []byte) {
 	from := l.Peer().Node
 	d.actor.Do(func() {
-		if d.ch.Frame(from, k, b) || d.norm.Frame(from, k, b, unit.Steady()) {
+		if d.ch.Frame(from, k, b) || d.norm.Frame(from, k, b, unit.Steady()) || d.queue != nil && d.queue.Frame(l, k, b) {
 			return
 		}
 		f := d.followers[l]
@@ -422,7 +446,7 @@
 	}
 	d.hearers[l] = x.Seq
 	if n := d.norm.News; n != nil {
-		d.hearers[l] = (&rule.Sheaf{News: n}).Give(l, x.Seq)
+		d.hearers[l] = (&rule.Sheaf{News: n.ForEdges()}).Give(l, x.Seq)
 	}
 	d.beat(unit.Steady(), []*lane.Link{l})
 }
@@ -433,7 +457,7 @@
 	if n := d.norm.News; n != nil {
 		p.Seq = n.Seq
 	}
-	for g := range d.shards {
+	for g := range d.ch.Parts {
 		if !d.fresh(now, g) {
 			p.Stale = append(p.Stale, g)
 		}
@@ -515,6 +539,9 @@
 		f.flush()
 	}
 	d.norm.Step(now)
+	if d.queue != nil {
+		wait = min(wait, (d.queue.Step(now) - now).Span())
+	}
 	if now >= d.pulseAt {
 		d.pulseAt = now + d.pulse
 		to := slices.Collect(maps.Keys(d.followers))
@@ -598,6 +625,9 @@
 // strike empties the seats of edge lives that ended: those the news call gone,
 // and those the news have not named for a while.
 func (d *Daemon) strike(now unit.Millis, g unit.Group, n *rule.News) {
+	if d.shards[g] == nil {
+		return // no topics, no seats
+	}
 	for _, h := range d.shards[g].state.Edges() {
 		e := n.Find(h.Edge)
 		if e != nil && e.Life == h.Life && !e.Gone {
@@ -659,6 +689,7 @@
 		}
 		time.Sleep(15 * time.Millisecond)
 	}
+	d.finish()
 	done := make(chan struct{})
 	d.actor.Do(func() {
 		for l, f := range d.followers {
--- /dev/null
+++ b/internal/hold/messages.go
@@ -0,0 +1,67 @@
+package hold
+
+import (
+	"time"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/choir"
+	"oxbowdeck/internal/dispatch"
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/unit"
+)
+
+// messages makes the part of a store that takes in messages and sends them on.
+func (d *Daemon) messages() *dispatch.Host {
+	set := d.set
+	return dispatch.New(dispatch.Host{
+		Self: d.self, Do: d.actor.Do,
+		Send: func(to unit.Node, k lane.Kind, v any) { d.hub.Send(to, k, v) },
+		Group: func(g unit.Group) dispatch.Group {
+			if p := d.ch.Parts[g]; p != nil {
+				return replica{d.ch, p, g}
+			}
+			return nil
+		},
+		Full: func() bool { return d.full },
+		B: dispatch.Bounds{
+			Mark:   unit.Millis(set.Int("mark_ms", 5)),
+			Late:   unit.Millis(set.Int("run_late_ms", 400)),
+			Dial:   time.Duration(set.Int("worker_dial_ms", 400)) * time.Millisecond,
+			Shut:   unit.Millis(set.Int("eject_ms", 600)),
+			Report: unit.Millis(set.ReportS*1000) + 5000,
+			Window: unit.Millis(set.WindowS * 1000),
+		}})
+}
+
+// replica is a group's replica as the messages' part sees it.
+type replica struct {
+	ch   *choir.Choir
+	part *choir.Part
+	g    unit.Group
+}
+
+func (r replica) Lead() (unit.Node, bool) {
+	_, n := r.part.Core.Lead()
+	return n, r.part.Core.Role() == accord.Leader
+}
+
+func (r replica) Time(now unit.Millis) unit.Millis { return r.part.Core.Time(now) }
+
+func (r replica) Submit(x accord.Request) error { return r.ch.Submit(r.g, x, false) }
+
+// finish waits, for a part of the time there is for a drain, until what is under
+// way to workers has ended and the ends are decided.
+func (d *Daemon) finish() {
+	if d.queue == nil {
+		return
+	}
+	until := time.Now().Add(time.Duration(d.set.DrainMs) * time.Millisecond / 2)
+	for time.Now().Before(until) {
+		idle := make(chan bool, 1)
+		d.actor.Do(func() { idle <- d.queue.Idle() })
+		if <-idle {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/voice/home_test.go
+++ b/internal/home/home_test.go
@@ -1,4 +1,4 @@
-package voice
+package home
 
 import (
 	"net"
@@ -14,7 +14,6 @@
 // follows; it leaves one that has not heard control, and one whose news are older
 // than another's for a while; control is asked when none is left.
 func TestHome(t *testing.T) {
-	limits := bounds{quiet: 400}
 	links := lane.Bounds{Queue: 1 << 20, Frame: 1 << 16, Dial: time.Second, Silence: time.Second, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
 	nothing := func(*lane.Link, lane.Kind, []byte) {}
 	news := &rule.News{Seq: 10}
@@ -35,33 +34,32 @@
 	hub := lane.New(lane.Hello{Node: "edge"}, links, nothing, func(*lane.Link) {})
 	t.Cleanup(func() { hub.Close(0) })
 	news.Nodes = append(news.Nodes, rule.Node{Duty: rule.Edge, Zone: "near", Addr: "edge", Life: 1})
-	d := &Daemon{hub: hub, self: rule.Node{Zone: "near"}, shunned: map[unit.Node]unit.Millis{}, b: limits,
-		norm: &rule.Client{News: news, Self: rule.Node{Addr: "edge", Life: 1}}}
-	at := func() unit.Node { return d.home.Peer().Node }
+	d := &Tie{Hub: hub, Zone: "near", Quiet: 400, Norm: &rule.Client{News: news, Self: rule.Node{Addr: "edge", Life: 1}}}
+	at := func() unit.Node { return d.at.Peer().Node }
 
-	d.watchHome(10000)
+	d.Watch(10000)
 	first := at()
 	if first == news.Nodes[0].Addr {
 		t.Fatal("the home is in another zone")
 	}
 	d.toldAt = 10900
-	if d.watchHome(11600); at() != first || d.untold(11600) {
+	if d.Watch(11600); at() != first || d.untold(11600) {
 		t.Fatal("a home that heard control was left")
 	}
-	d.watchHome(11800) // not heard control for 0.9 s
+	d.Watch(11800) // not heard control for 0.9 s
 	second := at()
 	if second == first || second == news.Nodes[0].Addr {
 		t.Fatalf("home %s after %s", second, first)
 	}
-	if d.watchHome(12700); at() != news.Nodes[0].Addr {
+	if d.Watch(12700); at() != news.Nodes[0].Addr {
 		t.Fatal("with both of the zone wanting, the other zone's is asked")
 	}
-	if !d.untold(13000) || !d.norm.Direct {
+	if !d.untold(13000) || !d.Norm.Direct {
 		t.Fatal("control itself is not asked, though no home has heard it for two seconds")
 	}
 
 	d.toldAt = 15000
-	l := d.hub.To(second)
+	l := d.Hub.To(second)
 	d.compare(15000, l, 11)
 	if d.compare(15900, l, 12); at() == second {
 		t.Fatal("left a home for being a moment behind")
--- /dev/null
+++ b/internal/ingest/calls.go
@@ -0,0 +1,309 @@
+package ingest
+
+import (
+	"math/rand/v2"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/dispatch"
+	"oxbowdeck/internal/queue"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/trace"
+	"oxbowdeck/internal/unit"
+)
+
+// verdict on a message that was handed in.
+type verdict uint8
+
+const (
+	unsure verdict = iota // it may have been taken
+	kept                  // it lasts
+	never                 // it was not taken, and never will be
+)
+
+type answer struct {
+	verdict verdict
+	group   unit.Group
+	why     string
+}
+
+// call is a message on its way through the decided order.
+type call struct {
+	req    accord.Request
+	group  unit.Group
+	free   bool // any group will do, as long as it was given to none
+	end    unit.Millis
+	at     unit.Millis
+	sent   unit.Millis
+	to     unit.Node
+	tries  int
+	queued bool
+	got    chan answer
+}
+
+// current gives the configuration; any goroutine may ask.
+func (d *Daemon) current() *rule.Config { return d.shown.Load() }
+
+// hand has a message decided, and waits for that.
+func (d *Daemon) hand(route *rule.Space, m *queue.Message, wait unit.Millis) answer {
+	b, err := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: m})
+	if err != nil {
+		return answer{verdict: never, why: "the message can't be encoded"}
+	}
+	got := make(chan answer, 1)
+	d.actor.Do(func() {
+		now := unit.Steady()
+		c := &call{req: accord.Request{ID: accord.ID{Origin: m.ID}, Data: b}, at: now, end: now + max(wait-30, wait/2), got: got}
+		switch {
+		case d.calls[c.req.ID] != nil:
+			got <- answer{why: "a message of this id is under way here"}
+			return
+		case d.shards() == 0 || len(d.calls) >= d.b.calls || d.held() > d.b.bytes:
+			got <- answer{verdict: never, why: "too much is under way here"}
+			return
+		}
+		c.group, c.free = dispatch.ShardOf(d.config, route, m.Key, d.shards())
+		if c.free && !d.choose(c) {
+			got <- answer{verdict: never, why: "no shard can be reached now"}
+			return
+		}
+		d.calls[c.req.ID] = c
+		d.queue(c)
+	})
+	return <-got
+}
+
+// held is the bytes of the messages under way.
+func (d *Daemon) held() (n int) {
+	for _, c := range d.calls {
+		n += len(c.req.Data)
+	}
+	return n
+}
+
+// choose gives a message to a group whose leader is in this zone, so that it
+// crosses between zones no more than it must; else to any that has one.
+func (d *Daemon) choose(c *call) bool {
+	var near, far []unit.Group
+	for g, x := range d.leads {
+		switch {
+		case x.node == "" || int(g) >= d.shards():
+		case d.zones[x.node] == d.self.Zone:
+			near = append(near, g)
+		default:
+			far = append(far, g)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return false
+	}
+	c.group = near[rand.N(len(near))]
+	return true
+}
+
+func (d *Daemon) queue(c *call) {
+	if !c.queued {
+		c.queued = true
+		d.out[c.group] = append(d.out[c.group], c)
+	}
+}
+
+// forward gives what is queued to the leaders.
+func (d *Daemon) forward(now unit.Millis) {
+	for g, q := range d.out {
+		x := d.leads[g]
+		if len(q) == 0 || x == nil || x.node == "" {
+			continue
+		}
+		fresh, again := trace.Propose{Group: g}, trace.Propose{Group: g, Again: true}
+		for _, c := range q {
+			c.queued = false
+			if d.calls[c.req.ID] != c {
+				continue
+			}
+			c.sent, c.to = now, x.node
+			if c.tries++; c.tries > 1 {
+				again.Reqs = append(again.Reqs, c.req)
+			} else {
+				fresh.Reqs = append(fresh.Reqs, c.req)
+			}
+		}
+		d.out[g] = q[:0]
+		for _, p := range []trace.Propose{fresh, again} {
+			if len(p.Reqs) > 0 {
+				d.hub.To(x.node).Send(trace.KindPropose, p)
+			}
+		}
+	}
+}
+
+// giveUp answers the messages whose time is over, turns from a leader that does
+// not answer, and moves those that were given to nobody from a group without one.
+func (d *Daemon) giveUp(now unit.Millis) {
+	for _, c := range d.calls {
+		x := d.leads[c.group]
+		switch {
+		case now >= c.end:
+			d.answer(c, answer{why: "not decided in time"})
+		case c.tries == 0 && (x == nil || x.node == "") && now-c.at > 40:
+			if c.free && d.choose(c) {
+				c.queued = false
+				d.queue(c)
+			} else if now-c.at > max(d.b.quiet, (c.end-c.at)/2) {
+				d.answer(c, answer{verdict: never, why: "the shard has no leader now"})
+			}
+		case c.tries > 0 && !c.queued && now-c.sent >= d.b.again:
+			if x != nil && x.node == c.to && now-x.seenAt >= d.b.again {
+				d.doubt(c.group, c.to)
+			}
+			d.queue(c)
+		}
+	}
+	for k, a := range d.asks {
+		d.pursue(now, k, a)
+	}
+}
+
+// answer ends a message's wait. One that was given to nobody will never run.
+func (d *Daemon) answer(c *call, a answer) {
+	delete(d.calls, c.req.ID)
+	if a.verdict == unsure && c.tries == 0 {
+		a.verdict = never
+	}
+	a.group = c.group
+	c.got <- a
+}
+
+func (d *Daemon) taken(now unit.Millis, id accord.ID) {
+	if c := d.calls[id]; c != nil {
+		if x := d.leads[c.group]; x != nil {
+			x.seenAt = now
+		}
+		d.answer(c, answer{verdict: kept})
+	}
+}
+
+// denied takes a store's word that it did not take messages. If that was the one
+// copy there is, it never runs.
+func (d *Daemon) denied(now unit.Millis, from unit.Node, x trace.Deny) {
+	if !x.Full {
+		d.doubt(x.Group, from)
+	}
+	for _, id := range x.IDs {
+		c := d.calls[id]
+		if c == nil || c.group != x.Group || c.to != from {
+			continue
+		}
+		if c.tries == 1 {
+			c.tries = 0 // as if it had never been sent
+			if x.Full {
+				d.answer(c, answer{verdict: never, why: "too much waits at the shard"})
+				continue
+			}
+		}
+		if c.tries == 0 && c.free {
+			c.queued = false
+			if d.choose(c) {
+				d.queue(c)
+				continue
+			}
+		}
+		c.sent = now - d.b.again + 30
+		if c.tries == 0 {
+			c.queued = false
+			d.queue(c)
+		}
+	}
+	d.seek(now)
+}
+
+// ask is a question how a message stands, under way.
+type ask struct {
+	state  trace.State
+	groups map[unit.Group]bool // not heard yet
+	wide   bool                // leaders do not answer: any replica may
+	at     unit.Millis
+	sent   unit.Millis
+	end    unit.Millis
+	got    chan asked
+}
+
+type asked struct {
+	stated trace.Stated
+	known  bool
+	sure   bool
+}
+
+// askFor is within what askers wait.
+const askFor = unit.Millis(1800)
+
+// ask asks the leader of a message's group how it stands; when that does not
+// answer, every replica: what one knows is right, if perhaps late.
+func (d *Daemon) ask(name string, body bool) (trace.Stated, bool, bool) {
+	got := make(chan asked, 1)
+	d.actor.Do(func() {
+		now := unit.Steady()
+		d.askSeq++
+		g, id, ok := splitName(name, d.shards())
+		a := &ask{state: trace.State{Req: d.askSeq, ID: id, Body: body}, groups: map[unit.Group]bool{}, at: now, end: now + askFor, got: got}
+		if ok {
+			a.groups[g] = true
+		} else {
+			for n := 0; n < d.shards(); n++ {
+				a.groups[unit.Group(n)] = true
+			}
+		}
+		if len(d.asks) >= d.b.calls || len(a.groups) == 0 {
+			got <- asked{}
+			return
+		}
+		d.asks[a.state.Req] = a
+		d.pursue(now, a.state.Req, a)
+	})
+	x := <-got
+	return x.stated, x.known, x.sure
+}
+
+func (d *Daemon) pursue(now unit.Millis, k uint64, a *ask) {
+	if now >= a.end {
+		delete(d.asks, k)
+		a.got <- asked{}
+		return
+	}
+	if a.sent > 0 && now-a.sent < 250 {
+		return
+	}
+	a.wide = now-a.at >= 400
+	for g := range a.groups {
+		s := a.state
+		s.Group = g
+		if x := d.leads[g]; x != nil && x.node != "" && !a.wide {
+			d.hub.To(x.node).Send(trace.KindState, s)
+		} else if int(g) < d.shards() {
+			for _, m := range d.norm.News.Shards[g].Voters {
+				d.hub.To(m.Node).Send(trace.KindState, s)
+			}
+		}
+	}
+	a.sent = now
+}
+
+func (d *Daemon) stated(x trace.Stated) {
+	a := d.asks[x.Req]
+	if a == nil {
+		return
+	}
+	if x.Known {
+		delete(d.asks, x.Req)
+		a.got <- asked{stated: x, known: true}
+		return
+	}
+	if delete(a.groups, x.Group); len(a.groups) == 0 {
+		delete(d.asks, x.Req)
+		a.got <- asked{sure: true}
+	}
+}
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,6 +31,7 @@
 	KindMissing   lane.Kind = 16
 	KindSeated    lane.Kind = 17
 	KindVacant    lane.Kind = 18
+	KindBeats     lane.Kind = 19
 )
 
 // Duty of a process.
@@ -83,6 +85,7 @@
 	Config   []byte // packed; empty when it did not change
 	Nodes    []Node
 	Shards   []Shard
+	Workers  []Worker
 }
 
 // Sketch is as much of the news as a process needs that shall hear them from a
@@ -120,9 +123,21 @@
 			out.Shards = append(out.Shards, x)
 		}
 	}
+	for _, x := range n.Workers {
+		if x.At > base {
+			out.Workers = append(out.Workers, x)
+		}
+	}
 	return out
 }
 
+// ForEdges is the news without what edges have no use for.
+func (n *News) ForEdges() *News {
+	out := *n
+	out.Workers = nil
+	return &out
+}
+
 // Sheaf gives links what changed since what each was last given; links that
 // stand alike share the bytes.
 type Sheaf struct {
@@ -185,6 +200,7 @@
 			out.Shards = append(out.Shards, x)
 		}
 	}
+	out.Workers = withWorkers(n.Workers, d.Workers)
 	return &out
 }
 
@@ -249,20 +265,25 @@
 
 // Config is the operator's configuration, as far as the data plane needs it.
 type Config struct {
-	Release int64   `json:"config_release"`
-	Spaces  []Space `json:"routing_entries"`
-	Limits  struct {
+	Release  int64     `json:"config_release"`
+	Spaces   []Space   `json:"routing_entries"`
+	Services []Service `json:"service_set"`
+	Limits   struct {
+		Header        int `json:"header_max_bytes"`
 		Body          int `json:"body_max_bytes"`
+		HeaderMs      int `json:"header_timer_ms"`
 		Subscriptions int `json:"subscriptions"`
 		IdleMs        int `json:"idle_timer_ms"`
 	} `json:"limits"`
 
 	byPrefix map[string]*Space
+	byHost   map[string]map[string]*Space
+	services map[string]*Service
 	lengths  []int // of the prefixes, longest first
 	lowest   int   // level
 }
 
-// Space is one space of topics.
+// Space is one route: a space of topics, or where messages go.
 type Space struct {
 	Label   string  `json:"label"`
 	Prefix  string  `json:"path_prefix"`
@@ -272,10 +293,33 @@
 	Level   int     `json:"prio_level"`
 	KeepS   float64 `json:"keep_s"`
 	Ordered string  `json:"ordered"`
+
+	Host     string  `json:"host_id"`
+	Service  string  `json:"service_ref"`
+	Attempts int     `json:"max_attempts"`
+	HoldS    float64 `json:"hold_s"`
+	Sequence bool    `json:"in_sequence"`
+	StartMs  float64 `json:"start_target_ms"`
+}
+
+// Service is who a route's messages go to.
+type Service struct {
+	Label     string  `json:"label"`
+	ConnLimit int     `json:"conn_limit"`
+	PerS      float64 `json:"rate_per_s"`
+	Dedup     bool    `json:"dedup_capable"`
+	Fixed     *string `json:"fixed_endpoint"`
 }
 
+// Classes of routes.
+const (
+	Retained = "retained"
+	Live     = "live"
+	Deferred = "deferred"
+)
+
 // Retained tells whether the space keeps its messages.
-func (s *Space) Retained() bool { return s.Class == "retained" }
+func (s *Space) Retained() bool { return s.Class == Retained }
 
 // ReadConfig reads a packed configuration that the control plane has checked.
 func ReadConfig(packed []byte) (*Config, error) {
@@ -290,12 +334,21 @@
 		}
 	}
 	c.byPrefix = make(map[string]*Space, len(c.Spaces))
+	c.byHost = map[string]map[string]*Space{}
+	c.services = make(map[string]*Service, len(c.Services))
+	for i := range c.Services {
+		c.services[c.Services[i].Label] = &c.Services[i]
+	}
 	lengths := map[int]bool{}
 	for i := range c.Spaces {
 		x := &c.Spaces[i]
 		if c.byPrefix[x.Prefix] == nil {
 			c.byPrefix[x.Prefix] = x
 		}
+		if c.byHost[x.Host] == nil {
+			c.byHost[x.Host] = map[string]*Space{}
+		}
+		c.byHost[x.Host][x.Prefix] = x
 		lengths[len(x.Prefix)] = true
 		if i == 0 || x.Level < c.lowest {
 			c.lowest = x.Level
@@ -323,6 +376,30 @@
 	return nil
 }
 
+// Route gives the route of a request: of its host, or of any, the longest prefix
+// its path begins with.
+func (c *Config) Route(host, path string) *Space {
+	host, _, _ = strings.Cut(host, ":")
+	path, _, _ = strings.Cut(path, "?")
+	for _, h := range []string{host, ""} {
+		byPrefix := c.byHost[h]
+		if byPrefix == nil {
+			continue
+		}
+		for _, n := range c.lengths {
+			if n <= len(path) {
+				if x := byPrefix[path[:n]]; x != nil {
+					return x
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// ServiceOf gives a service by its label.
+func (c *Config) ServiceOf(label string) *Service { return c.services[label] }
+
 // Client is a data-plane process's tie to norm: it enrols, hears news, and
 // turns to another control process when one is silent. Run its methods on one
 // actor.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -30,6 +30,11 @@
 	KindPing     lane.Kind = 34
 	KindPong     lane.Kind = 35
 	KindHear     lane.Kind = 36
+	KindWho      lane.Kind = 40
+	KindState    lane.Kind = 41
+	KindStated   lane.Kind = 42
+	KindGrant    lane.Kind = 43
+	KindGranted  lane.Kind = 44
 )
 
 // Follow asks a replica for the decided order of a group; Followed answers.
@@ -165,3 +170,48 @@
 	_      struct{} `cbor:",toarray"`
 	Groups []unit.Group
 }
+
+// Who asks who leads a group; Lead answers.
+type Who struct {
+	_     struct{} `cbor:",toarray"`
+	Group unit.Group
+}
+
+// State asks how a message stands, or for its bytes.
+type State struct {
+	_     struct{} `cbor:",toarray"`
+	Req   uint64
+	Group unit.Group
+	ID    string
+	Body  bool
+}
+
+// Stated answers State.
+type Stated struct {
+	_       struct{} `cbor:",toarray"`
+	Req     uint64
+	Group   unit.Group
+	Known   bool
+	Leads   bool // it is the leader's word; a replica may lag
+	Outcome uint8
+	Seal    string
+	Packed  bool
+	Body    []byte
+}
+
+// Grant asks the node that counts a service for the right to send it N attempts;
+// whoever else gets it passes it on. Granted gives some, for a short time.
+type Grant struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Group   unit.Group
+	N       int
+	For     unit.Node
+}
+
+// Granted answers Grant.
+type Granted struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	N       int
+}
--- a/internal/voice/drain.go
+++ b/internal/voice/drain.go
@@ -14,7 +14,7 @@
 func (d *Daemon) Stop() {
 	until := time.Now().Add(time.Duration(d.set.DrainMs) * time.Millisecond * 8 / 10)
 	d.actor.Do(func() {
-		d.leaving = true
+		d.leaving, d.home.Ends = true, true
 		d.ready.Set(false)
 	})
 	var near, far []string
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -10,6 +10,7 @@
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/choir"
 	"oxbowdeck/internal/ground"
+	"oxbowdeck/internal/home"
 	"oxbowdeck/internal/kin"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
@@ -43,12 +44,7 @@
 
 	ties    []*tie // by shard
 	pingAt  unit.Millis
-	home    *lane.Link  // the store of this zone that brings the news
-	homeAt  unit.Millis // when it was asked
-	toldAt  unit.Millis // when it last had heard the control plane
-	newer   unit.Slot   // news that some store has and the home did not bring yet
-	newerAt unit.Millis
-	shunned map[unit.Node]unit.Millis // stores that did not serve as home, until when
+	home    home.Tie // to the store that brings the news
 	reqSeq  uint64
 	leaving bool
 	sweepAt unit.Millis
@@ -77,7 +73,7 @@
 func Start(set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(4096), config: &rule.Config{}, conns: map[uint64]*conn{},
 		topics: map[unit.Topic]*topic{}, reqs: map[uint64]*sub{}, counts: map[uint64]*census{}, calls: map[accord.ID]*call{}, doubts: map[accord.ID]unit.Millis{},
-		outq: map[unit.Group][]*call{}, leads: map[unit.Group]trace.Lead{}, shunned: map[unit.Node]unit.Millis{}}
+		outq: map[unit.Group][]*call{}, leads: map[unit.Group]trace.Lead{}}
 	d.b = bounds{
 		conns: set.Int("edge_conns", max(64, (set.FDs-200)/2)), out: set.Int("client_out_kb", 512) << 10,
 		calls: set.Int("edge_calls", 20000), perConn: set.Int("client_calls", 256),
@@ -91,6 +87,7 @@
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
 	d.norm = &rule.Client{Hub: d.hub, Self: d.self, Seeds: ground.Norms(set), OnNews: d.onNews, Quiet: unit.Millis(set.Int("news_quiet_ms", 1500))}
 	d.hub.Far = d.norm.Far
+	d.home = home.Tie{Hub: d.hub, Norm: d.norm, Zone: set.Zone, Quiet: d.b.quiet}
 	var err error
 	d.kin, err = ground.Kin(set, d.self, d.actor.Do, func(n unit.Node, life unit.Life) {
 		d.norm.Tell(rule.KindMissing, rule.Leave{Addr: n, Life: life, By: addr})
@@ -334,12 +331,8 @@
 	now := unit.Steady()
 	wait := unit.Millis(500)
 	// a store brings the news; norm is asked to enrol, and when no store does
-	d.watchHome(now)
-	if d.untold(now) {
-		d.norm.Step(now)
+	if d.home.Step(now) {
 		wait = 100
-	} else if d.norm.Tied() && now-d.toldAt < d.b.quiet {
-		d.norm.Rest()
 	}
 	d.watchTies(now)
 	for _, x := range d.ties {
@@ -445,11 +438,7 @@
 			x.c.put(reject(nil, wCensus, x.topic, 0, cRetry))
 		}
 	}
-	for a, until := range d.shunned {
-		if now > until {
-			delete(d.shunned, a)
-		}
-	}
+	d.home.Sweep(now)
 	for id, at := range d.doubts {
 		if now-at > doubtFor {
 			delete(d.doubts, id)
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -64,10 +64,7 @@
 func (d *Daemon) down(l *lane.Link) {
 	d.actor.Do(func() {
 		now := unit.Steady()
-		if l == d.home {
-			d.home, d.toldAt = nil, 0
-			d.watchHome(now)
-		}
+		d.home.Down(now, l)
 		for _, x := range d.ties {
 			if l == x.try {
 				x.try = nil
@@ -263,10 +260,7 @@
 
 // beat takes a replica's sign of life.
 func (d *Daemon) beat(now unit.Millis, l *lane.Link, p trace.Pulse) {
-	if l == d.home && p.Told {
-		d.toldAt = now
-	}
-	d.compare(now, l, p.Seq)
+	d.home.Beat(now, l, p)
 	for _, x := range d.ties {
 		if x.cur != l {
 			continue
--- a/internal/will/will.go
+++ b/internal/will/will.go
@@ -79,6 +79,7 @@
 			say(w, http.StatusOK, answer{State: "active"})
 		}
 	})
+	workers(mux, d, b)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { say(w, http.StatusOK, d.Status()) })
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10}
