A message moved from a group without a leader is given to the other alone

Simulated runs of the dispatcher check early, order, twice, ceiling, lost and mixed; ends are said again at each change of leader.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -22,8 +22,8 @@
 	silent               // no connection, no answer, or one cut short
 )
 
-// result is what came of an attempt.
-type result struct {
+// Result is what came of an attempt.
+type Result struct {
 	outcome queue.Outcome
 	kind    kind
 	failed  bool // an answer that counts against the worker
@@ -38,8 +38,8 @@
 // mostAnswer is the largest body of an answer that is read.
 const mostAnswer = 256 << 10
 
-// attempt is a delivery to be sent.
-type attempt struct {
+// Attempt is a delivery to be sent.
+type Attempt struct {
 	msg     *queue.Message
 	worker  string // the life it is meant for; empty: whoever is there
 	addr    string
@@ -47,16 +47,19 @@
 	dial    time.Duration
 }
 
-// run sends a delivery and reads the answer. It runs on a goroutine of its own.
-func (a *attempt) run(p *pool) result {
+// Go sends a delivery on a goroutine of its own.
+func Go(a *Attempt, p *Pool, done func(Result)) { go func() { done(a.run(p)) }() }
+
+// run sends a delivery and reads the answer.
+func (a *Attempt) run(p *Pool) Result {
 	body, err := pack.Open(a.msg.Packed, a.msg.Body)
 	if err != nil {
-		return result{outcome: queue.NotRun, kind: answered, err: unit.Err("unpack", a.msg.ID, err)}
+		return Result{outcome: queue.NotRun, kind: answered, err: unit.Err("unpack", a.msg.ID, err)}
 	}
 	l := p.take(time.Now())
 	if l == nil {
 		if l, err = dial(a.addr, min(a.dial, a.timeout), a.timeout); err != nil {
-			return result{outcome: queue.NotRun, kind: silent, err: err}
+			return Result{outcome: queue.NotRun, kind: silent, err: err}
 		}
 	}
 	// the answer may still be on its way when the worker's time is over
@@ -80,7 +83,7 @@
 		res.Body.Close()
 		if err != nil || n > mostAnswer {
 			l.c.Close()
-			return result{outcome: queue.Lost, kind: silent, status: res.StatusCode, err: unit.Errf("read answer", a.addr, "cut after %d bytes", n)}
+			return Result{outcome: queue.Lost, kind: silent, status: res.StatusCode, err: unit.Errf("read answer", a.addr, "cut after %d bytes", n)}
 		}
 		if id := res.Header.Get("X-Attempt-Id"); id != "" && id != a.msg.ID {
 			strange = true // a second answer to what went before on this connection
@@ -98,8 +101,8 @@
 
 // cut is an attempt without an answer. One on a connection that had rested says
 // little of the worker: it may have closed it meanwhile.
-func (a *attempt) cut(l *line, err error) result {
-	r := result{outcome: queue.Lost, kind: silent, err: err}
+func (a *Attempt) cut(l *line, err error) Result {
+	r := Result{outcome: queue.Lost, kind: silent, err: err}
 	if l.used && !timedOut(err) {
 		r.kind = refused
 	}
@@ -116,7 +119,7 @@
 }
 
 // judge tells what a whole answer means.
-func (a *attempt) judge(res *http.Response) (r result) {
+func (a *Attempt) judge(res *http.Response) (r Result) {
 	r.status = res.StatusCode
 	if part := strings.Split(res.Header.Get("X-Server-Load"), ","); len(part) == 3 {
 		r.running, _ = strconv.Atoi(strings.TrimSpace(part[0]))
@@ -141,7 +144,7 @@
 }
 
 // bytes is the request as it arrived, with what a delivery adds.
-func (a *attempt) bytes(body []byte) []byte {
+func (a *Attempt) bytes(body []byte) []byte {
 	var b bytes.Buffer
 	b.Grow(len(body) + 512)
 	field := func(name, value string) {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -6,7 +6,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -44,6 +46,9 @@
 	Send   func(to unit.Node, k lane.Kind, v any)
 	Group  func(unit.Group) Group
 	Full   func() bool // nothing new is to be taken
+	Now    func() unit.Millis
+	Run    func(a *Attempt, w *Pool, done func(Result)) // sends an attempt, elsewhere than on the actor
+	Rand   *rand.Rand
 	B      Bounds
 	shards map[unit.Group]*Shard
 	config *rule.Config
@@ -138,7 +143,8 @@
 		}
 		h.services[x.Label] = x
 	}
-	for _, w := range h.workers {
+	for _, id := range slices.Sorted(maps.Keys(h.workers)) {
+		w := h.workers[id]
 		if s := h.services[w.Service]; s != nil && (s.Fixed == nil || w.fixed) {
 			if w.Zone == h.Self.Zone {
 				s.near = append(s.near, w)
@@ -179,7 +185,7 @@
 			return best, than
 		}
 		found := 0
-		for i, at := 0, rand.N(len(from)); i < len(from) && found < 2; i++ {
+		for i, at := 0, h.Rand.IntN(len(from)); i < len(from) && found < 2; i++ {
 			w := from[(at+i)%len(from)]
 			if w.ID == avoid && len(s.near)+len(s.far) > 1 || !w.free(now, most) {
 				continue
@@ -203,7 +209,7 @@
 
 // Frame takes a frame of an edge or of another host.
 func (h *Host) Frame(l *lane.Link, k lane.Kind, b []byte) bool {
-	now := unit.Steady()
+	now := h.Now()
 	switch k {
 	case trace.KindPropose:
 		if x, ok := lane.Get[trace.Propose](b); ok {
@@ -310,8 +316,8 @@
 			w.pool.tidy(at)
 		}
 	}
-	for _, s := range h.shards {
-		next = min(next, s.step(now))
+	for _, g := range slices.Sorted(maps.Keys(h.shards)) { // in turn: they share the workers
+		next = min(next, h.shards[g].step(now))
 	}
 	return next
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -2,7 +2,8 @@
 
 import (
 	"container/heap"
-	"math/rand/v2"
+	"maps"
+	"slices"
 	"sort"
 
 	"oxbowdeck/internal/accord"
@@ -20,6 +21,7 @@
 	group   unit.Group
 	state   *queue.State
 	leading bool
+	lead    unit.Node
 	rescan  bool // look at every message anew
 	stir    bool // room may have come free
 	timers  timers
@@ -97,7 +99,7 @@
 func (s *Shard) Clock() unit.Millis { return s.state.Clock() }
 
 func (s *Shard) event(e queue.Event) {
-	now := unit.Steady()
+	now := s.host.Now()
 	switch e.Verb {
 	case queue.Accept:
 		for _, l := range s.waits[e.ID] {
@@ -156,23 +158,22 @@
 	}
 	b.running = true
 	msg := e.Row.Msg
-	a := &attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial}
+	a := &Attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial}
 	if !b.w.fixed {
 		a.worker = b.w.ID
 	}
 	try := e.Row.Tries
-	go func() {
-		r := a.run(&b.w.pool)
+	s.host.Run(a, &b.w.pool, func(r Result) {
 		s.host.Do(func() { s.ran(pos, try, b, r) })
-	}()
+	})
 }
 
 // ran takes what came of an attempt.
-func (s *Shard) ran(pos unit.Pos, try uint16, b *booking, r result) {
-	now := unit.Steady()
+func (s *Shard) ran(pos unit.Pos, try uint16, b *booking, r Result) {
+	now := s.host.Now()
 	b.over = true
 	b.w.under--
-	b.w.note(now, r, s.host.B.Shut)
+	b.w.note(now, r, s.host.B.Shut, s.host.Rand)
 	s.stir = true
 	if r.outcome == queue.Lost || r.outcome == queue.Failed {
 		unit.Log("attempt", "group", s.group, "pos", pos, "try", try, "outcome", r.outcome, "worker", b.w.ID, "status", r.status, "err", r.err)
@@ -196,7 +197,7 @@
 		} else if b.w.fixed {
 			wait = 60
 		}
-		p.till = now + wait/2 + rand.N(wait)
+		p.till = now + wait/2 + unit.Millis(s.host.Rand.Int64N(int64(wait)))
 	}
 	s.say(now, queue.Mark{Pos: pos, Try: try, Outcome: r.outcome, Seal: r.seal, Limit: b.limit})
 }
@@ -279,7 +280,8 @@
 
 // send books room for what waits.
 func (s *Shard) send(now unit.Millis) {
-	for name, l := range s.lines {
+	for _, name := range slices.Sorted(maps.Keys(s.lines)) {
+		l := s.lines[name]
 		svc := s.host.services[name]
 		if svc == nil {
 			l.q, l.in = nil, map[unit.Pos]bool{}
@@ -342,6 +344,12 @@
 	}
 	s.answers = nil
 	lead, here := gr.Lead()
+	if lead != s.lead { // what the one before was told may be lost with it
+		s.lead, s.flushAt = lead, now
+		for _, x := range s.said {
+			x.spoken = false
+		}
+	}
 	if here != s.leading {
 		s.leading = here
 		s.rescan = here
@@ -369,7 +377,8 @@
 	} else if len(s.begins) > 0 || len(s.said) > 0 {
 		next = s.flushAt
 	}
-	for pos, b := range s.booked {
+	for _, pos := range slices.Sorted(maps.Keys(s.booked)) {
+		b := s.booked[pos]
 		if !b.running && now-b.at > 4*s.host.B.Late {
 			s.release(pos) // its beginning was never decided, or will not be sent
 			s.after(now, pos)
@@ -390,7 +399,7 @@
 
 // sayAgain is how long the decision of an end may take before it is said again.
 const (
-	sayAgain = unit.Millis(300)
+	sayAgain = unit.Millis(120)
 	sayFor   = unit.Millis(20000)
 )
 
@@ -406,7 +415,8 @@
 		s.begins, did = nil, true
 	}
 	var ends []queue.Mark
-	for pos, x := range s.said {
+	for _, pos := range slices.Sorted(maps.Keys(s.said)) {
+		x := s.said[pos]
 		if x.spoken && now-x.at < sayAgain {
 			continue
 		}
--- /dev/null
+++ b/internal/dispatch/sim_test.go
@@ -0,0 +1,482 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand"
+	randv2 "math/rand/v2"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/queue"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/trace"
+	"oxbowdeck/internal/unit"
+)
+
+// A simulated run: three processes with real hosts over one decided order, which
+// loses or delays what a leader that falls had put to it, and stand-in workers
+// that fail, fall silent and lose answers. After each step the rules are checked
+// from what the workers saw.
+
+const simConfig = `{"config_release":1,"routing_entries":[
+{"label":"a","host_id":"","path_prefix":"/plain","route_class":"deferred","guard_timer_ms":800,"service_ref":"list","max_attempts":4,"hold_s":600},
+{"label":"b","host_id":"","path_prefix":"/row","route_class":"deferred","guard_timer_ms":600,"service_ref":"list","max_attempts":4,"in_sequence":true,"hold_s":600},
+{"label":"c","host_id":"","path_prefix":"/fixed","route_class":"deferred","guard_timer_ms":600,"service_ref":"desk","max_attempts":4,"hold_s":600}],
+"service_set":[{"label":"list","conn_limit":60},{"label":"desk","conn_limit":40,"rate_per_s":%g,"fixed_endpoint":"10.0.0.9:1"}]}`
+
+const simRate = 20
+
+type simNode struct {
+	*sim
+	i       int
+	host    *Host
+	shard   *Shard
+	applied int
+	leads   bool // as it believes
+	up      bool
+	life    unit.Life
+}
+
+type simMsg struct {
+	queue.Message
+	sent     unit.Millis
+	told     unit.Millis // when 202 was known; 0: not yet
+	seals    map[string]bool
+	fails    int
+	never    bool
+	poison   bool
+	over     unit.Millis // it has ended, as workers and senders know
+	readBy   *simNode    // who read a success
+	readLife unit.Life
+	group    unit.Group
+}
+
+type simEvent struct {
+	at  unit.Millis
+	seq int
+	do  func()
+}
+
+type sim struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    unit.Millis
+	offset unit.Millis // decided time lags true time by so much
+	nodes  []*simNode
+	log    []accord.Decided
+	leader int
+	events []simEvent
+	seq    int
+	msgs   map[string]*simMsg
+	order  []*simMsg
+	starts []unit.Millis // arrivals at the service with a ceiling
+	calm   bool
+	faults []string
+	spoil  string // which safeguard is taken away
+	news   *rule.News
+}
+
+func (s *sim) fault(format string, a ...any) {
+	s.faults = append(s.faults, fmt.Sprintf("%d ms: ", s.now)+fmt.Sprintf(format, a...))
+}
+
+func (s *sim) in(d unit.Millis, do func()) {
+	s.seq++
+	s.events = append(s.events, simEvent{s.now + max(d, 0), s.seq, do})
+}
+
+// simGroup is the replica as a node's host sees it.
+type simGroup struct{ n *simNode }
+
+func (g simGroup) Lead() (unit.Node, bool) {
+	if g.n.leads {
+		return g.n.host.Self.Addr, true
+	}
+	if g.n.leader < 0 {
+		return "", false
+	}
+	return addrOf(g.n.leader), false
+}
+func (g simGroup) Time(now unit.Millis) unit.Millis { return now - g.n.offset }
+func (g simGroup) Submit(r accord.Request) error {
+	if !g.n.leads {
+		return accord.ErrNotLeader
+	}
+	g.n.put(g.n.i, r)
+	return nil
+}
+
+func addrOf(i int) unit.Node { return unit.Node("n" + strconv.Itoa(i)) }
+
+// put has a request decided soon, unless its leader falls first: then it is lost,
+// or the next leader finds it.
+func (s *sim) put(from int, r accord.Request) {
+	var c queue.Command
+	if cbor.Unmarshal(r.Data, &c) == nil && c.Verb == queue.End && s.spoil == "twice" {
+		return
+	}
+	s.in(unit.Millis(5+s.rng.Intn(25)), func() {
+		if s.leader == from || s.rng.Intn(3) == 0 {
+			s.decide(r)
+		}
+	})
+}
+
+func (s *sim) decide(r accord.Request) {
+	s.log = append(s.log, accord.Decided{Slot: unit.Slot(len(s.log) + 1), Value: accord.Value{Stamp: s.now - s.offset, Reqs: []accord.Request{r}}})
+}
+
+func (n *simNode) begin() {
+	n.life++
+	n.up, n.leads, n.applied = true, false, 0
+	life := n.life
+	n.host = New(Host{Self: rule.Node{Addr: addrOf(n.i), Life: life, Zone: "z"},
+		Rand: randv2.New(randv2.NewPCG(uint64(n.i), uint64(n.rng.Int63()))),
+		Now:  func() unit.Millis { return n.now },
+		Do:   func(f func()) { f() },
+		Send: func(to unit.Node, k lane.Kind, v any) {
+			p, ok := v.(trace.Propose)
+			if !ok {
+				return
+			}
+			n.in(unit.Millis(1+n.rng.Intn(4)), func() {
+				if to := n.nodes[int(to[1]-'0')]; to.up && to.leads {
+					for _, r := range p.Reqs {
+						to.put(to.i, r)
+					}
+				}
+			})
+		},
+		Group: func(unit.Group) Group { return simGroup{n} },
+		Full:  func() bool { return false },
+		Run: func(a *Attempt, _ *Pool, done func(Result)) {
+			n.in(unit.Millis(1+n.rng.Intn(3)), func() { n.work(n, life, a, done) })
+		},
+		B: Bounds{Mark: 5, Late: 400, Dial: time.Second, Shut: 300, Report: 1 << 40, Window: 5000}})
+	n.host.News(n.news, n.now)
+	n.shard = n.host.Open(0)
+}
+
+// work is a worker's end of an attempt.
+func (s *sim) work(n *simNode, life unit.Life, a *Attempt, done func(Result)) {
+	m := s.msgs[a.msg.ID]
+	tell := func(after unit.Millis, r Result) {
+		s.in(after, func() {
+			if n.up && n.life == life {
+				if r.outcome == queue.Done {
+					m.readBy, m.readLife = n, life
+				}
+				done(r)
+			}
+		})
+	}
+	dice := 100
+	if !s.calm {
+		dice = s.rng.Intn(100)
+	}
+	if dice < 4 {
+		tell(2, Result{outcome: queue.NotRun, kind: refused})
+		return
+	}
+	s.arrive(m)
+	work := unit.Millis(20 + s.rng.Intn(100))
+	limit := unit.Millis(a.timeout / time.Millisecond)
+	switch {
+	case dice < 8: // hangs
+		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
+	case dice < 12: // does it, and the answer is lost
+		s.in(work, func() { s.success(m) })
+		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
+	case m.poison || dice < 22:
+		s.in(work, func() {
+			if m.fails++; m.fails >= 4 && m.over == 0 {
+				m.over = s.now
+			}
+		})
+		tell(work+1, Result{outcome: queue.Failed, failed: true})
+	case dice < 24:
+		s.in(work, func() {
+			if m.never = true; m.over == 0 {
+				m.over = s.now
+			}
+		})
+		tell(work+1, Result{outcome: queue.Never})
+	default:
+		seal := ""
+		s.in(work, func() { seal = s.success(m) })
+		s.in(work+1, func() { tell(0, Result{outcome: queue.Done, seal: seal}) })
+	}
+}
+
+func (s *sim) success(m *simMsg) string {
+	seal := m.ID + "/" + strconv.Itoa(len(m.seals))
+	m.seals[seal] = true
+	if m.over == 0 {
+		m.over = s.now
+	}
+	return seal
+}
+
+// arrive checks the rules at the beginning of a run.
+func (s *sim) arrive(m *simMsg) {
+	if s.now < m.sent+m.Defer-100 {
+		s.fault("EARLY %s runs %d ms before it is due", m.ID, m.sent+m.Defer-s.now)
+	}
+	if r := m.readBy; r != nil && r.up && r.life == m.readLife {
+		s.fault("TWICE %s runs again after a success that %s read", m.ID, r.host.Self.Addr)
+	}
+	if strings.HasPrefix(m.Path, "/row") && m.Key != "" {
+		for _, o := range s.order {
+			if o != m && o.Key == m.Key && o.told > 0 && o.told < m.sent && o.over == 0 {
+				s.fault("ORDER %s begins before %s has ended", m.ID, o.ID)
+			}
+		}
+	}
+	if m.Path == "/fixed" {
+		s.starts = append(s.starts, s.now)
+		n := 0
+		for _, at := range s.starts {
+			if s.now-at < 5000 {
+				n++
+			}
+		}
+		if n > simRate*5*11/10+5 {
+			s.fault("CEILING %d arrivals in 5 s", n)
+		}
+	}
+}
+
+func (s *sim) send() {
+	m := &simMsg{sent: s.now, seals: map[string]bool{}, poison: s.rng.Intn(60) == 0}
+	m.Message = queue.Message{ID: "m" + strconv.Itoa(len(s.order)), Method: "POST", Hold: 600000, Release: 1, Path: []string{"/plain", "/row", "/row", "/fixed"}[s.rng.Intn(4)]}
+	if m.Path == "/row" {
+		m.Key, m.Ordered = "k"+strconv.Itoa(s.rng.Intn(3)), s.spoil != "order"
+	}
+	if m.Path == "/plain" && s.rng.Intn(3) == 0 {
+		m.Defer = unit.Millis(s.rng.Intn(4000))
+	}
+	s.msgs[m.ID] = m
+	s.order = append(s.order, m)
+	sent := m.Message
+	if s.spoil == "early" {
+		sent.Defer = 0
+	}
+	b, _ := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: &sent})
+	r := accord.Request{ID: accord.ID{Origin: m.ID}, Data: b}
+	var try func()
+	try = func() {
+		if m.told > 0 {
+			return
+		}
+		if s.leader >= 0 {
+			s.put(s.leader, r)
+		}
+		s.in(250, try)
+	}
+	try()
+}
+
+// step lets a millisecond pass.
+func (s *sim) step() {
+	s.now++
+	sort.SliceStable(s.events, func(i, j int) bool {
+		return s.events[i].at < s.events[j].at || s.events[i].at == s.events[j].at && s.events[i].seq < s.events[j].seq
+	})
+	for len(s.events) > 0 && s.events[0].at <= s.now {
+		do := s.events[0].do
+		s.events = s.events[1:]
+		do()
+	}
+	for _, n := range s.nodes {
+		if !n.up {
+			continue
+		}
+		for n.applied < len(s.log) && (n.i == s.leader || s.rng.Intn(3) > 0) {
+			d := s.log[n.applied]
+			n.applied++
+			n.shard.Apply(d)
+			for _, r := range d.Value.Reqs {
+				if m := s.msgs[r.ID.Origin]; m != nil && m.told == 0 && n.i == s.leader {
+					m.told = s.now
+				}
+			}
+		}
+		n.host.Step(s.now)
+	}
+}
+
+// trouble moves the lead, kills, revives.
+func (s *sim) trouble() {
+	switch s.rng.Intn(5) {
+	case 0, 1:
+		s.elect()
+	case 2:
+		n := s.nodes[s.rng.Intn(len(s.nodes))]
+		up := 0
+		for _, x := range s.nodes {
+			if x.up {
+				up++
+			}
+		}
+		if !n.up || up < 3 {
+			return
+		}
+		n.up, n.leads = false, false
+		if s.leader == n.i {
+			s.leader = -1
+			s.in(unit.Millis(100+s.rng.Intn(400)), s.elect)
+		}
+		s.in(unit.Millis(300+s.rng.Intn(1500)), n.begin)
+	}
+}
+
+// elect makes a new leader; the old one may not know for a while.
+func (s *sim) elect() {
+	if s.leader >= 0 {
+		old, life := s.nodes[s.leader], s.nodes[s.leader].life
+		s.in(unit.Millis(s.rng.Intn(600)), func() {
+			if old.life == life && s.leader != old.i {
+				old.leads = false
+			}
+		})
+	}
+	for {
+		i := s.rng.Intn(len(s.nodes))
+		if s.nodes[i].up {
+			s.leader = i
+			break
+		}
+	}
+	s.offset += unit.Millis(s.rng.Intn(200))
+	n := s.nodes[s.leader]
+	for n.applied < len(s.log) { // a leader has what was decided
+		n.shard.Apply(s.log[n.applied])
+		n.applied++
+	}
+	n.leads = true
+}
+
+func play(t *testing.T, seed int64, spoil string) []string {
+	s := &sim{t: t, rng: rand.New(rand.NewSource(seed)), leader: -1, msgs: map[string]*simMsg{}, spoil: spoil, now: 1000}
+	rate := float64(simRate)
+	if spoil == "ceiling" {
+		rate = 0
+	}
+	s.news = &rule.News{Seq: 1, Release: 1, Config: rule.Pack([]byte(fmt.Sprintf(simConfig, rate))), Shards: []rule.Shard{{}}}
+	for i := 0; i < 6; i++ {
+		s.news.Workers = append(s.news.Workers, rule.Worker{ID: "w" + strconv.Itoa(i), Service: "list", Addr: "10.0.0.1:1", Zone: "z", Slots: 3})
+	}
+	for i := 0; i < 3; i++ {
+		s.nodes = append(s.nodes, &simNode{sim: s, i: i})
+	}
+	for _, n := range s.nodes {
+		n.begin()
+	}
+	s.elect()
+	for s.now < 12000 {
+		if s.rng.Intn(12) == 0 {
+			s.send()
+		}
+		if s.rng.Intn(600) == 0 {
+			s.trouble()
+		}
+		s.step()
+	}
+	s.calm = true
+	for end := s.now + 60000; s.now < end; {
+		if s.leader < 0 || s.now%500 == 0 && !s.nodes[s.leader].leads {
+			s.elect()
+		}
+		s.step()
+		if s.now%1000 == 0 && s.settled() {
+			break
+		}
+	}
+	s.settle()
+	return s.faults
+}
+
+func (s *sim) settled() bool {
+	for _, m := range s.order {
+		if r := s.nodes[s.leader].shard.state.Find(m.ID); m.told > 0 && (r == nil || r.End == queue.Open) {
+			return false
+		}
+	}
+	return true
+}
+
+// settle checks how each message ended, and that all replicas say the same.
+func (s *sim) settle() {
+	st := s.nodes[s.leader].shard.state
+	for _, m := range s.order {
+		r := st.Find(m.ID)
+		switch {
+		case m.told == 0:
+		case r == nil:
+			s.fault("LOST %s was accepted and is not known", m.ID)
+		case r.End == queue.Done && !m.seals[r.Seal]:
+			s.fault("MIXED %s is done with %q, which no run gave", m.ID, r.Seal)
+		case r.End == queue.Never && !m.never, r.End == queue.Spent && m.fails < 4:
+			s.fault("MIXED %s ended as %s", m.ID, r.End)
+		case r.End == queue.Open || r.End == queue.Expired || r.End == queue.Dropped:
+			s.fault("LOST %s is %s at the end", m.ID, r.End)
+		}
+	}
+	var first []byte
+	for _, n := range s.nodes {
+		if !n.up {
+			continue
+		}
+		for ; n.applied < len(s.log); n.applied++ {
+			n.shard.Apply(s.log[n.applied])
+		}
+		b, err := n.shard.Save()
+		again := queue.New(n.shard.state.Bounds)
+		if err == nil {
+			err = again.Load(b)
+		}
+		back, _ := again.Save()
+		if first == nil {
+			first = b
+		}
+		if err != nil || string(b) != string(first) || string(back) != string(b) {
+			s.fault("STATES differ at %s (%v)", n.host.Self.Addr, err)
+		}
+	}
+}
+
+// TestSim: the rules hold under changes of leader, deaths and wanting workers.
+func TestSim(t *testing.T) {
+	seeds := int64(12)
+	if n, err := strconv.Atoi(os.Getenv("DISPATCH_SEEDS")); err == nil {
+		seeds = int64(n)
+	}
+	for seed := int64(1); seed <= seeds; seed++ {
+		if f := play(t, seed, ""); len(f) > 0 {
+			t.Fatalf("seed %d: %d faults, the first: %s", seed, len(f), strings.Join(f[:min(4, len(f))], "\n"))
+		}
+	}
+}
+
+// TestSimSeesFaults: each check fails when its safeguard is taken away.
+func TestSimSeesFaults(t *testing.T) {
+	for spoil, want := range map[string]string{"early": "EARLY", "order": "ORDER", "ceiling": "CEILING", "twice": "TWICE"} {
+		found := false
+		for seed := int64(1); seed <= 6 && !found; seed++ {
+			for _, f := range play(t, seed, spoil) {
+				found = found || strings.Contains(f, want)
+			}
+		}
+		if !found {
+			t.Errorf("without the safeguard against %s nothing was found", want)
+		}
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -21,7 +21,7 @@
 type worker struct {
 	rule.Worker
 	fixed    bool
-	pool     pool
+	pool     Pool
 	under    int // attempts sent from here and not ended
 	others   int // what it told of its load beyond those
 	toldAt   unit.Millis
@@ -64,7 +64,7 @@
 }
 
 // note takes what became of an attempt into account.
-func (w *worker) note(now unit.Millis, r result, shut unit.Millis) {
+func (w *worker) note(now unit.Millis, r Result, shut unit.Millis, rng *rand.Rand) {
 	if r.slots > 0 {
 		w.others, w.toldAt = max(0, r.running+r.waiting-w.under-1), now
 		if w.fixed || w.Slots == 0 {
@@ -84,7 +84,7 @@
 		// a fixed endpoint has no other to turn to, and each failure counts
 		bad = w.errors > 0.45 && w.answers >= 4 && !w.fixed
 	case refused:
-		w.busyTill = now + 20 + rand.N(unit.Millis(30))
+		w.busyTill = now + 20 + unit.Millis(rng.IntN(30))
 		return
 	case silent:
 		w.strikes++
@@ -95,7 +95,7 @@
 		if w.fixed {
 			w.shutFor = min(w.shutFor, 2*shut)
 		}
-		w.shutTill, w.trial, w.errors, w.answers = now+w.shutFor/2+rand.N(w.shutFor), true, 0.3, 0
+		w.shutTill, w.trial, w.errors, w.answers = now+w.shutFor/2+unit.Millis(rng.Int64N(int64(w.shutFor))), true, 0.3, 0
 		unit.Log("worker-shut", "worker", w.ID, "service", w.Service, "for_ms", w.shutTill-now, "strikes", w.strikes)
 		w.pool.drop()
 	} else if r.kind == answered && !r.failed {
@@ -103,8 +103,8 @@
 	}
 }
 
-// pool is the open connections to one worker that rest.
-type pool struct {
+// Pool is the open connections to one worker that rest.
+type Pool struct {
 	mu   sync.Mutex
 	idle []*line
 }
@@ -122,7 +122,7 @@
 const keepIdle = 2 * time.Second
 
 // take gives a connection that rests, or nil.
-func (p *pool) take(now time.Time) *line {
+func (p *Pool) take(now time.Time) *line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
@@ -136,7 +136,7 @@
 	return nil
 }
 
-func (p *pool) put(l *line, keep time.Duration) {
+func (p *Pool) put(l *line, keep time.Duration) {
 	l.till, l.used = time.Now().Add(keep), true
 	p.mu.Lock()
 	p.idle = append(p.idle, l)
@@ -144,7 +144,7 @@
 }
 
 // tidy closes what has rested for too long.
-func (p *pool) tidy(now time.Time) {
+func (p *Pool) tidy(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
@@ -160,7 +160,7 @@
 }
 
 // drop closes all that rest.
-func (p *pool) drop() { p.tidy(time.Now().Add(time.Hour)) }
+func (p *Pool) drop() { p.tidy(time.Now().Add(time.Hour)) }
 
 // dial opens a connection.
 func dial(addr string, wait, silence time.Duration) (*line, error) {
--- a/internal/hold/messages.go
+++ b/internal/hold/messages.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"oxbowdeck/internal/accord"
@@ -22,7 +23,7 @@
 			}
 			return nil
 		},
-		Full: func() bool { return d.full },
+		Full: func() bool { return d.full }, Now: unit.Steady, Run: dispatch.Go, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		B: dispatch.Bounds{
 			Mark:   unit.Millis(set.Int("mark_ms", 5)),
 			Late:   unit.Millis(set.Int("run_late_ms", 400)),
--- a/internal/ingest/calls.go
+++ b/internal/ingest/calls.go
@@ -121,6 +121,9 @@
 		}
 		fresh, again := trace.Propose{Group: g}, trace.Propose{Group: g, Again: true}
 		for _, c := range q {
+			if c.group != g || !c.queued {
+				continue // it went to another group, which alone may have it
+			}
 			c.queued = false
 			if d.calls[c.req.ID] != c {
 				continue
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -101,8 +101,9 @@
 // Size is about how many bytes a row takes.
 func (r *Row) Size() int { return len(r.Msg.Body) + len(r.Msg.ID) + len(r.Msg.Path) + 320 }
 
-// Slack is added to the time an attempt may run: its answer may be on the way.
-const Slack = unit.Millis(250)
+// Slack is added to the time an attempt may run: its answer may be on the way,
+// and who read it may have to tell it to a new leader.
+const Slack = unit.Millis(600)
 
 // Event is what Apply tells the process it runs in.
 type Event struct {
