--- a/cmd/flux/main.go
+++ b/cmd/flux/main.go
@@ -37,7 +37,7 @@
 			}
 			return hold.Start(s)
 		}),
-		ground.CheckCommand(), lore.Command(hold.Bounds(&ground.Settings{ResendS: 10})))
+		ground.CheckCommand(), worker(), lore.Command(hold.Bounds(&ground.Settings{ResendS: 10}), hold.Report(&ground.Settings{ReportS: 120})))
 	if err := root.Execute(); errors.Is(err, lore.ErrFaults) {
 		os.Exit(1)
 	} else if err != nil {
--- a/cmd/norm/tools.go
+++ b/cmd/norm/tools.go
@@ -290,6 +290,19 @@
 }
 `
 
+const queueSample = `{
+  "config_release": 1,
+  "routing_entries": [
+    {"label": "rooms", "host_id": "", "path_prefix": "/rooms/", "route_class": "deferred", "guard_timer_ms": 1500, "target_ms": 150,
+     "prio_level": 1, "service_ref": "stock", "max_attempts": 3, "in_sequence": true, "hold_s": 90.0, "start_target_ms": 1200}
+  ],
+  "service_set": [
+    {"label": "stock", "health_path": "/health", "conn_limit": 40, "rate_per_s": 0.0, "dedup_capable": false, "fixed_endpoint": null}
+  ],
+  "limits": {"header_max_bytes": 16384, "body_max_bytes": 262144}
+}
+`
+
 func lay() *cobra.Command {
 	p := plot.Plan{}
 	c := &cobra.Command{Use: "lay DIR", Short: "write settings for a whole deployment on this machine", Args: cobra.ExactArgs(1),
@@ -302,7 +315,11 @@
 			if err != nil {
 				return err
 			}
-			if err := os.WriteFile(filepath.Join(p.Dir, "config.json"), []byte(sample), 0o644); err != nil {
+			text := sample
+			if p.Queue {
+				text = queueSample
+			}
+			if err := os.WriteFile(filepath.Join(p.Dir, "config.json"), []byte(text), 0o644); err != nil {
 				return unit.Err("lay", p.Dir, err)
 			}
 			for _, x := range all {
@@ -314,6 +331,7 @@
 	f.IntVar(&p.Zones, "zones", 3, "zones: a control process and a store in each")
 	f.IntVar(&p.Edges, "edges", 1, "edges in each zone")
 	f.IntVar(&p.Base, "port", 21800, "first port")
+	f.BoolVar(&p.Queue, "queue", false, "a deployment that takes in messages and sends them to workers")
 	f.IntVar(&p.Net, "net", 8, "addresses are 127.0.NET.x")
 	return c
 }
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -81,7 +81,7 @@
 
 // Open makes the machine of a group's replica.
 func (h *Host) Open(g unit.Group) *Shard {
-	s := &Shard{host: h, group: g, state: queue.New(queue.Bounds{Report: h.B.Report, Sweep: 500}),
+	s := &Shard{host: h, group: g, state: queue.New(queue.Bounds{Report: h.B.Report, Sweep: queue.SweepEvery}),
 		booked: map[unit.Pos]*booking{}, said: map[unit.Pos]*said{}, pauses: map[unit.Pos]*pause{},
 		lines: map[string]*waiting{}, waits: map[accord.ID][]*lane.Link{}}
 	h.shards[g] = s
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -659,14 +659,25 @@
 
 // Status is what an operator is shown.
 type Status struct {
-	Node    string       `json:"node_name"`
-	Leader  unit.Node    `json:"leader"`
-	Epoch   uint64       `json:"epoch"`
-	Commit  unit.Slot    `json:"commit"`
-	Voters  []unit.Node  `json:"voters"` // of the control group itself
-	Release int64        `json:"config_release"`
-	Nodes   []NodeStatus `json:"nodes"`
-	Shards  []rule.Shard `json:"shards"`
+	Node    string         `json:"node_name"`
+	Leader  unit.Node      `json:"leader"`
+	Epoch   uint64         `json:"epoch"`
+	Commit  unit.Slot      `json:"commit"`
+	Voters  []unit.Node    `json:"voters"` // of the control group itself
+	Release int64          `json:"config_release"`
+	Nodes   []NodeStatus   `json:"nodes"`
+	Shards  []rule.Shard   `json:"shards"`
+	Workers []WorkerStatus `json:"workers,omitempty"`
+}
+
+// WorkerStatus is one life of a worker in Status.
+type WorkerStatus struct {
+	ID       string    `json:"entity_id"`
+	Service  string    `json:"service_ref"`
+	Zone     unit.Zone `json:"zone"`
+	Addr     string    `json:"addr"`
+	Slots    int       `json:"capacity_slots"`
+	Draining bool      `json:"draining"`
 }
 
 // NodeStatus is one process in Status.
@@ -691,6 +702,11 @@
 		for _, n := range d.state.Nodes {
 			s.Nodes = append(s.Nodes, NodeStatus{n.Name, n.Duty.String(), n.Zone, n.Addr, n.Gone})
 		}
+		for _, x := range d.state.Workers {
+			if !x.Gone {
+				s.Workers = append(s.Workers, WorkerStatus{x.ID, x.Service, x.Zone, x.Addr, x.Slots, x.Draining})
+			}
+		}
 		close(done)
 	})
 	<-done
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -119,6 +119,9 @@
 			return nil, err
 		}
 	}
+	if err := d.vault.Put("kind", set.Kind); err != nil { // for who reads the directory offline
+		return nil, err
+	}
 	addr := set.Inner(ground.PortStore)
 	d.self = rule.Node{Name: set.Name, Duty: rule.Store, Zone: set.Zone, Addr: addr, Disk: disk, Life: unit.Life(rand.Uint64() >> 1)}
 	d.hub = lane.New(lane.Hello{Node: addr, Life: d.self.Life}, ground.LaneBounds(set), d.frame, d.down)
--- a/internal/hold/messages.go
+++ b/internal/hold/messages.go
@@ -7,6 +7,7 @@
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/choir"
 	"oxbowdeck/internal/dispatch"
+	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/unit"
 )
@@ -29,11 +30,15 @@
 			Late:   unit.Millis(set.Int("run_late_ms", 400)),
 			Dial:   time.Duration(set.Int("worker_dial_ms", 400)) * time.Millisecond,
 			Shut:   unit.Millis(set.Int("eject_ms", 600)),
-			Report: unit.Millis(set.ReportS*1000) + 5000,
+			Report: Report(set),
 			Window: unit.Millis(set.WindowS * 1000),
 		}})
 }
 
+// Report is how long a shard tells how messages ended; every replica of a group
+// runs with the same.
+func Report(set *ground.Settings) unit.Millis { return unit.Millis(set.ReportS*1000) + 5000 }
+
 // replica is a group's replica as the messages' part sees it.
 type replica struct {
 	ch   *choir.Choir
--- a/internal/lore/command.go
+++ b/internal/lore/command.go
@@ -15,22 +15,22 @@
 var ErrFaults = errors.New("faults found")
 
 // Command reads data directories.
-func Command(bounds tale.Bounds) *cobra.Command {
+func Command(bounds tale.Bounds, report unit.Millis) *cobra.Command {
 	var asJSON bool
 	var stop uint64
-	var topic, client string
+	var topic, client, message string
 	c := &cobra.Command{
 		Use:   "story DIR...",
 		Short: "read stores' data directories offline: check, compare, replay",
 		Long: "Checks each directory (epochs, instances, values), runs its decided log through the state machine again, and\n" +
 			"compares the directories with each other by digests. Opens read-only; the store must not be running.\n" +
-			"With --topic or --client it tells what happened to them. Exit code 1: faults were found.",
+			"With --topic, --client or --message it tells what happened to them. Exit code 1: faults were found.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, dirs []string) error {
 			out := cmd.OutOrStdout()
-			a := Ask{Bounds: bounds, Stop: unit.Slot(stop), Topic: unit.Topic(topic), Client: unit.Client(client)}
+			a := Ask{Bounds: bounds, Stop: unit.Slot(stop), Topic: unit.Topic(topic), Client: unit.Client(client), Message: message, Report: report}
 			var story []Line
-			if topic != "" || client != "" {
+			if topic != "" || client != "" || message != "" {
 				seen := map[string]bool{} // replicas tell the same story: once is enough
 				a.Tell = func(_ Group, l Line) {
 					if k := fmt.Sprint(l); !seen[k] {
@@ -57,8 +57,15 @@
 				for _, g := range all {
 					fmt.Fprintf(out, "%s: group %d: epoch %d, snapshot at %d, decided to %d, %d undecided, state %s at %d\n",
 						g.Dir, g.Group, g.Epoch, g.Snapshot, g.Decided, g.Undecided, g.Digest, g.At)
+					if g.Open+g.Ended > 0 {
+						fmt.Fprintf(out, "%s: group %d: %d messages waiting, %d ended\n", g.Dir, g.Group, g.Open, g.Ended)
+					}
 				}
 				for _, l := range story {
+					if l.Message != "" {
+						fmt.Fprintf(out, "%s %s message=%s try=%d outcome=%s by=%s\n", l.Pos, l.Verb, l.Message, l.Try, l.Outcome, l.Edge)
+						continue
+					}
 					fmt.Fprintf(out, "%s %s topic=%s client=%s seq=%d verdict=%d edge=%s\n", l.Pos, l.Verb, l.Topic, l.Client, l.Seq, l.Verdict, l.Edge)
 				}
 				for _, f := range faults {
@@ -76,5 +83,6 @@
 	c.Flags().Uint64Var(&stop, "stop", 0, "replay no further than this instance")
 	c.Flags().StringVar(&topic, "topic", "", "tell this topic's story")
 	c.Flags().StringVar(&client, "client", "", "tell this client's story")
+	c.Flags().StringVar(&message, "message", "", "tell the story of the message with this X-Attempt-Id")
 	return c
 }
--- a/internal/lore/lore.go
+++ b/internal/lore/lore.go
@@ -9,7 +9,9 @@
 	"sort"
 
 	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/mend"
+	"oxbowdeck/internal/queue"
 	"oxbowdeck/internal/tale"
 	"oxbowdeck/internal/unit"
 	"oxbowdeck/internal/vault"
@@ -26,6 +28,8 @@
 	Undecided int         `json:"undecided"`
 	Digest    string      `json:"state_digest"`
 	At        unit.Slot   `json:"state_at"`
+	Open      int         `json:"open_messages,omitempty"` // of a queue: not ended
+	Ended     int         `json:"ended_messages,omitempty"`
 	entries   map[unit.Slot]accord.Entry
 	snap      *vault.Snapshot
 }
@@ -55,20 +59,25 @@
 	Pos     string       `json:"position"`
 	Slot    unit.Slot    `json:"instance"`
 	Verb    string       `json:"verb"`
-	Topic   unit.Topic   `json:"topic"`
-	Client  unit.Client  `json:"client"`
+	Topic   unit.Topic   `json:"topic,omitempty"`
+	Client  unit.Client  `json:"client,omitempty"`
 	Seq     unit.Seq     `json:"call_seq,omitempty"`
 	Verdict tale.Verdict `json:"verdict,omitempty"`
 	Edge    unit.Node    `json:"edge,omitempty"`
+	Message string       `json:"message,omitempty"` // of a queue
+	Try     uint16       `json:"try,omitempty"`
+	Outcome string       `json:"outcome,omitempty"`
 }
 
 // Ask narrows a reading.
 type Ask struct {
-	Bounds tale.Bounds
-	Stop   unit.Slot // replay no further, if not 0
-	Topic  unit.Topic
-	Client unit.Client
-	Tell   func(Group, Line) // gets the story, if set
+	Bounds  tale.Bounds
+	Stop    unit.Slot // replay no further, if not 0
+	Topic   unit.Topic
+	Client  unit.Client
+	Message string            // the X-Attempt-Id of one
+	Report  unit.Millis       // how long a queue tells how messages ended
+	Tell    func(Group, Line) // gets the story, if set
 }
 
 // Read checks one directory and replays its groups.
@@ -78,6 +87,10 @@
 		return nil, nil, err
 	}
 	defer v.Close()
+	kind := ""
+	if _, err := v.Get("kind", &kind); err != nil {
+		return nil, nil, err
+	}
 	ids, err := v.Groups()
 	if err != nil {
 		return nil, nil, err
@@ -109,7 +122,7 @@
 				bad(s, "decided, and not there")
 			}
 		}
-		if err := g.replay(a, func(s unit.Slot, what string) { bad(s, "%s", what) }); err != nil {
+		if err := g.replay(a, kind, func(s unit.Slot, what string) { bad(s, "%s", what) }); err != nil {
 			return nil, nil, err
 		}
 		groups = append(groups, g)
@@ -119,9 +132,63 @@
 
 var verbs = map[tale.Verb]string{tale.Publish: "publish", tale.Sit: "sit", tale.Rise: "rise", tale.Gone: "gone"}
 
+// machine is a shard's state, of either kind.
+type machine interface {
+	Load([]byte) error
+	Save() ([]byte, error)
+	apply(accord.Decided)
+}
+
+type topics struct {
+	*tale.State
+	g *Group
+	a Ask
+}
+
+func (t topics) apply(d accord.Decided) {
+	t.State.Apply(d, func(x tale.Event) {
+		if t.a.Tell == nil || t.a.Message != "" || t.a.Topic != "" && x.Cmd.Topic != t.a.Topic || t.a.Client != "" && x.Cmd.Client != t.a.Client {
+			return
+		}
+		t.a.Tell(*t.g, Line{Pos: unit.Cursor(t.g.Group, x.Pos), Slot: d.Slot, Verb: verbs[x.Cmd.Verb], Topic: x.Cmd.Topic,
+			Client: x.Cmd.Client, Seq: x.Cmd.Seq, Verdict: x.Verdict, Edge: x.Cmd.Edge})
+	})
+}
+
+type messages struct {
+	*queue.State
+	g *Group
+	a Ask
+}
+
+func (m messages) apply(d accord.Decided) {
+	m.State.Apply(d, func(x queue.Event) {
+		if m.a.Tell == nil || x.Row == nil || x.Row.Msg.ID != m.a.Message {
+			return
+		}
+		l := Line{Pos: unit.Cursor(m.g.Group, x.Row.Pos), Slot: d.Slot, Message: x.Row.Msg.ID, Try: x.Mark.Try, Edge: x.By}
+		switch x.Verb {
+		case queue.Accept:
+			l.Verb = "accept"
+		case queue.Begin:
+			l.Verb, l.Try = "begin", x.Mark.Try+1
+		default:
+			l.Verb, l.Outcome = "end", x.Mark.Outcome.String()
+		}
+		if !x.OK {
+			l.Verb += "-refused"
+		}
+		m.a.Tell(*m.g, l)
+	})
+	m.g.Open, m.g.Ended = m.State.Open(), m.State.Ended()
+}
+
 // replay runs the decided log through the shard's own Apply.
-func (g *Group) replay(a Ask, bad func(unit.Slot, string)) error {
-	s := tale.New(a.Bounds)
+func (g *Group) replay(a Ask, kind string, bad func(unit.Slot, string)) error {
+	var s machine = topics{tale.New(a.Bounds), g, a}
+	if kind == ground.Queue {
+		s = messages{queue.New(queue.Bounds{Report: a.Report, Sweep: queue.SweepEvery}), g, a}
+	}
 	if g.snap != nil && len(g.snap.State) > 0 {
 		if err := s.Load(g.snap.State); err != nil {
 			bad(g.Snapshot, err.Error())
@@ -137,13 +204,7 @@
 		if err != nil {
 			break
 		}
-		s.Apply(accord.Decided{Slot: n, Value: v, Raw: e.Val}, func(x tale.Event) {
-			if a.Tell == nil || a.Topic != "" && x.Cmd.Topic != a.Topic || a.Client != "" && x.Cmd.Client != a.Client {
-				return
-			}
-			a.Tell(*g, Line{Pos: unit.Cursor(g.Group, x.Pos), Slot: n, Verb: verbs[x.Cmd.Verb], Topic: x.Cmd.Topic,
-				Client: x.Cmd.Client, Seq: x.Cmd.Seq, Verdict: x.Verdict, Edge: x.Cmd.Edge})
-		})
+		s.apply(accord.Decided{Slot: n, Value: v, Raw: e.Val})
 		g.At = n
 	}
 	if g.At == 0 {
--- a/internal/plot/plot.go
+++ b/internal/plot/plot.go
@@ -15,9 +15,10 @@
 type Plan struct {
 	Dir   string
 	Zones int
-	Edges int // in each zone
-	Base  int // first port
-	Net   int // third number of the addresses, 127.0.NET.x
+	Edges int  // in each zone
+	Base  int  // first port
+	Net   int  // third number of the addresses, 127.0.NET.x
+	Queue bool // of the kind that takes in messages
 	Extra []string
 }
 
@@ -46,17 +47,20 @@
 			"timing_bounds.config_apply_ms=3000\ntiming_bounds.drain_ms=3000\ntiming_bounds.grace_s=6\ntiming_bounds.ping_s=2\n"+
 			"timing_bounds.rejoin_s=2\ntiming_bounds.resend_s=10\n",
 			name, role, class, ip, zone, strings.Join(zones, ""), more, p.Base+10, p.Base+19, strings.Join(seeds, ","), (p.Zones-1)/2)
-		if class != "edge" {
+		if p.Queue {
+			text += "deployment=queue\ntiming_bounds.report_s=120\ntiming_bounds.ceiling_window_s=5\n"
+		}
+		if class != "edge" || program == "norm" {
 			text += "data_dir=" + data + "\n"
 		}
 		for _, e := range p.Extra {
 			text += e + "\n"
 		}
 		x := Process{Name: name, Program: program, Role: role, Settings: filepath.Join(p.Dir, name+".conf"), Text: text}
-		switch class {
-		case "core":
+		switch {
+		case program == "norm":
 			x.Control = fmt.Sprintf("%s:%d", ip, p.Base)
-		case "edge":
+		case class == "edge":
 			x.Front = fmt.Sprintf("%s:%d", ip, p.Base+1)
 		}
 		out = append(out, x)
--- a/internal/plot/whole_test.go
+++ b/internal/plot/whole_test.go
@@ -17,6 +17,7 @@
 	"oxbowdeck/internal/edict"
 	"oxbowdeck/internal/ground"
 	"oxbowdeck/internal/hold"
+	"oxbowdeck/internal/ingest"
 	"oxbowdeck/internal/lore"
 	"oxbowdeck/internal/voice"
 	"oxbowdeck/internal/will"
@@ -134,6 +135,14 @@
 		}
 		w.stops[x.Name] = d.Stop
 	default:
+		if set.Kind == ground.Queue {
+			d, err := ingest.Start(set)
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			w.stops[x.Name] = d.Stop
+			return
+		}
 		d, err := voice.Start(set)
 		if err != nil {
 			w.t.Fatal(err)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -117,6 +117,9 @@
 	OK   bool   // Accept: taken now (else before); Begin, End: it took effect
 }
 
+// SweepEvery is how often a state looks for what is over.
+const SweepEvery = unit.Millis(500)
+
 // Bounds of what a state holds; every replica of a group runs with the same.
 type Bounds struct {
 	Report unit.Millis // how a message ended is told for so long
