--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -104,7 +104,12 @@
 		followers: map[*lane.Link]*follower{}, byEdge: map[unit.Node]*follower{}, hearers: map[*lane.Link]unit.Slot{}, strange: map[tale.Holder]unit.Millis{},
 		idle: map[unit.Group]unit.Millis{}, watchers: map[unit.Topic]map[*follower]bool{}, leads: map[unit.Group]trace.Lead{}}
 	var err error
-	if d.vault, err = vault.Open(set.DataDir, false); err != nil {
+	if set.Kind == ground.Queue {
+		d.vault, err = vault.OpenBulk(set.DataDir)
+	} else {
+		d.vault, err = vault.Open(set.DataDir, false)
+	}
+	if err != nil {
 		return nil, err
 	}
 	d.vault.Failed = ground.Fatal
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -87,8 +87,51 @@
 }
 
 // Open opens or makes the directory. Reading a closed one for the tools: readOnly.
-func Open(dir string, readOnly bool) (*Vault, error) {
-	return openWith(dir, func() (*leveldb.DB, error) { return leveldb.OpenFile(dir, options(readOnly)) })
+func Open(dir string, readOnly bool) (*Vault, error) { return openTuned(dir, options(readOnly), readOnly) }
+
+// OpenBulk opens one that much is written to and soon dropped: its journals are
+// larger and its tables seldom merged, so most of what a snapshot makes needless
+// is dropped before it was written a second time.
+func OpenBulk(dir string) (*Vault, error) {
+	o := options(false)
+	o.WriteBuffer, o.CompactionTableSize = 4<<20, 8<<20
+	o.CompactionL0Trigger, o.WriteL0SlowdownTrigger, o.WriteL0PauseTrigger = 12, 32, 48
+	return openTuned(dir, o, false)
+}
+
+func openTuned(dir string, o *opt.Options, readOnly bool) (*Vault, error) {
+	v, err := openWith(dir, func() (*leveldb.DB, error) { return leveldb.OpenFile(dir, o) })
+	if err == nil && !readOnly {
+		go v.settle(dir, settleEvery)
+	}
+	return v, err
+}
+
+// settleEvery is how often the folder itself is synced.
+const settleEvery = 2 * time.Second
+
+// settle syncs the folder from time to time. The tables remove files without
+// that: a removal that is not synced may be undone by a loss of power, so until
+// then the file system keeps the room, and a queue writes many files.
+func (v *Vault) settle(dir string, every time.Duration) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-v.done:
+			return
+		}
+		f, err := os.Open(dir)
+		if err != nil {
+			unit.Log("folder-refused", "err", err)
+			continue
+		}
+		if err := f.Sync(); err != nil {
+			unit.Log("folder-refused", "err", err)
+		}
+		f.Close()
+	}
 }
 
 func options(readOnly bool) *opt.Options {
