--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -59,6 +59,23 @@
 	in     map[*Link]bool
 	closed bool
 	ln     net.Listener
+	sent   atomic.Int64 // bytes on the wire, both ways
+	taken  atomic.Int64
+}
+
+// Bytes gives how many bytes were sent and read since the start.
+func (h *Hub) Bytes() (sent, taken int64) { return h.sent.Load(), h.taken.Load() }
+
+// tallied reads a connection and counts.
+type tallied struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c tallied) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
 }
 
 // path is one of the links to a peer.
@@ -331,11 +348,13 @@
 		if pack {
 			flate.StatelessDeflate(&packed, b, false, before) // to memory: cannot fail
 			before = lately(before, b)
+			l.hub.sent.Add(int64(packed.Len()))
 			_, err = c.Write(packed.Bytes())
 			if packed.Reset(); packed.Cap() > 64<<10 {
 				packed = bytes.Buffer{}
 			}
 		} else {
+			l.hub.sent.Add(int64(len(b)))
 			_, err = c.Write(b)
 		}
 		if err != nil {
@@ -368,7 +387,7 @@
 
 func (l *Link) read(c net.Conn) {
 	defer l.Drop()
-	r := bufio.NewReaderSize(c, 8<<10)
+	r := bufio.NewReaderSize(tallied{c, &l.hub.taken}, 8<<10)
 	l.mu.Lock()
 	packed := l.pack
 	l.mu.Unlock()
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,108 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// table runs commands through a state, one an instance.
+type table struct {
+	*State
+	slot unit.Slot
+	ok   bool // whether the last mark took effect
+}
+
+func (x *table) do(at unit.Millis, c Command) {
+	b, err := cbor.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	x.slot++
+	x.Apply(accord.Decided{Slot: x.slot, Value: accord.Value{Stamp: at, Reqs: []accord.Request{{ID: accord.ID{Origin: fmt.Sprint(x.slot)}, Data: b}}}},
+		func(e Event) { x.ok = e.OK })
+}
+
+func (x *table) accept(at unit.Millis, m Message) *Row {
+	x.do(at, Command{Verb: Accept, Msg: &m})
+	return x.Find(m.ID)
+}
+
+func (x *table) begin(at unit.Millis, r *Row, try uint16) bool {
+	x.do(at, Command{Verb: Begin, Marks: []Mark{{Pos: r.Pos, Try: try, For: 1000}}})
+	return x.ok
+}
+
+func (x *table) end(at unit.Millis, r *Row, try uint16, o Outcome) bool {
+	x.do(at, Command{Verb: End, Marks: []Mark{{Pos: r.Pos, Try: try, Outcome: o, Seal: "s", Limit: 2}}})
+	return x.ok
+}
+
+// TestLives: how messages begin and end, one case after the other.
+func TestLives(t *testing.T) {
+	x := &table{State: New(Bounds{Report: 5000, Sweep: 500})}
+	want := func(what string, got, want any) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	a := x.accept(1000, Message{ID: "a", Hold: 90000, Body: []byte("bytes")})
+	want("the same id again", x.accept(1001, Message{ID: "a", Hold: 1}), a)
+	want("begins", x.begin(1010, a, 0), true)
+	want("begins while it may run", x.begin(1500, a, 1), false)
+	want("of another attempt", x.end(1500, a, 2, Failed), false)
+	want("fails once", x.end(1500, a, 1, Failed), true)
+	want("fails again without a beginning", x.end(1500, a, 1, Failed), false)
+	want("begins again", x.begin(1600, a, 1), true)
+	want("may not run any more", x.begin(1600+1000+Slack, a, 2), true)
+	want("a success of an earlier attempt", x.end(3300, a, 2, Done), true)
+	want("how", a.End, Done)
+	want("with its seal", a.Seal, "s")
+	want("and without its bytes", len(a.Msg.Body), 0)
+	want("begins after its end", x.begin(3400, a, 3), false)
+
+	b := x.accept(3500, Message{ID: "b", Hold: 90000, Body: []byte("kept")})
+	x.begin(3500, b, 0)
+	x.end(3600, b, 1, Failed)
+	x.begin(3700, b, 1)
+	x.end(3800, b, 2, Failed)
+	want("spent after its limit", b.End, Spent)
+	want("with its bytes", string(b.Msg.Body), "kept")
+
+	first := x.accept(4000, Message{ID: "c", Key: "k", Ordered: true, Hold: 90000})
+	second := x.accept(4000, Message{ID: "d", Key: "k", Ordered: true, Hold: 90000})
+	want("passes one of its sequence", x.begin(4100, second, 0), false)
+	want("dropped without an attempt", x.end(4200, first, 0, Dropped), true)
+	want("then it may", x.begin(4300, second, 0), true)
+	want("not run", x.end(4400, second, 1, NotRun), true)
+	want("counts as no failure", second.Fails, uint16(0))
+
+	e := x.accept(4500, Message{ID: "e", Hold: 1000})
+	x.accept(6000, Message{ID: "f", Hold: 90000})
+	want("held for as long as its route says", e.End, Expired)
+	want("how it ended is told", x.Find("a") != nil, true)
+	x.accept(9000, Message{ID: "g", Hold: 90000})
+	want("and forgotten", x.Find("a") == nil && x.Find("b") == nil && x.Find("e") != nil, true)
+
+	saved, err := x.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	y := New(x.Bounds)
+	for n := 0; n < len(saved); n += 7 {
+		if y.Load(saved[:n]) == nil {
+			t.Fatalf("a snapshot cut at %d of %d was taken", n, len(saved))
+		}
+	}
+	if err := y.Load(saved); err != nil {
+		t.Fatal(err)
+	}
+	want("open after a load", y.Open(), x.Open())
+	want("bytes after a load", y.Bytes(), x.Bytes())
+	want("the sequence after a load", y.Next("k").Msg.ID, "d")
+}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -87,7 +87,9 @@
 }
 
 // Open opens or makes the directory. Reading a closed one for the tools: readOnly.
-func Open(dir string, readOnly bool) (*Vault, error) { return openTuned(dir, options(readOnly), readOnly) }
+func Open(dir string, readOnly bool) (*Vault, error) {
+	return openTuned(dir, options(readOnly), readOnly)
+}
 
 // OpenBulk opens one that much is written to and soon dropped: its journals are
 // larger and its tables seldom merged, so most of what a snapshot makes needless
