--- a/internal/ingest/calls.go
+++ b/internal/ingest/calls.go
@@ -85,18 +85,23 @@
 // choose gives a message to a group whose leader is in this zone, so that it
 // crosses between zones no more than it must; else to any that has one.
 func (d *Daemon) choose(c *call) bool {
-	var near, far []unit.Group
+	var near, far, late []unit.Group
+	now := unit.Steady()
 	for g, x := range d.leads {
 		switch {
 		case x.node == "" || int(g) >= d.shards():
+		case x.late(now, d.b.late):
+			late = append(late, g)
 		case d.zones[x.node] == d.self.Zone:
 			near = append(near, g)
 		default:
 			far = append(far, g)
 		}
 	}
-	if len(near) == 0 {
-		near = far
+	for _, list := range [][]unit.Group{far, late} {
+		if len(near) == 0 {
+			near = list
+		}
 	}
 	if len(near) == 0 {
 		return false
@@ -147,8 +152,14 @@
 // giveUp answers the messages whose time is over, turns from a leader that does
 // not answer, and moves those that were given to nobody from a group without one.
 func (d *Daemon) giveUp(now unit.Millis) {
+	for _, x := range d.leads {
+		x.oldest = 0
+	}
 	for _, c := range d.calls {
 		x := d.leads[c.group]
+		if c.tries > 0 && x != nil && c.to == x.node && (x.oldest == 0 || c.sent < x.oldest) {
+			x.oldest = c.sent
+		}
 		switch {
 		case now >= c.end:
 			d.answer(c, answer{why: "not decided in time"})
--- a/internal/ingest/calls_test.go
+++ b/internal/ingest/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/lane"
@@ -13,7 +14,7 @@
 // TestOneGroup: a message that any group may take is given to one alone, also
 // when it waited for a group without a leader first and was moved from there.
 func TestOneGroup(t *testing.T) {
-	d := &Daemon{hub: lane.New(lane.Hello{Node: "e"}, lane.Bounds{Queue: 1 << 20}, nil, func(*lane.Link) {}),
+	d := &Daemon{hub: lane.New(lane.Hello{Node: "e"}, lane.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}, nil, func(*lane.Link) {}),
 		norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 2)}}, b: bounds{quiet: 400, again: 250},
 		calls: map[accord.ID]*call{}, out: map[unit.Group][]*call{}, zones: map[unit.Node]unit.Zone{},
 		leads: map[unit.Group]*lead{0: {}, 1: {node: "127.0.0.1:2"}}}
@@ -44,6 +45,23 @@
 	}
 }
 
+// TestLate: a leader that keeps messages waiting is passed by, if another is there.
+func TestLate(t *testing.T) {
+	now := unit.Steady()
+	d := &Daemon{norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 2)}}, b: bounds{late: 120}, zones: map[unit.Node]unit.Zone{},
+		leads: map[unit.Group]*lead{0: {node: "a", oldest: now - 500, seenAt: now - 400}, 1: {node: "b", oldest: now - 500, seenAt: now}}}
+	for i := 0; i < 40; i++ {
+		c := &call{free: true}
+		if !d.choose(c) || c.group != 1 {
+			t.Fatal("given to a leader that has not answered for 0.4 s")
+		}
+	}
+	d.leads[1].node = ""
+	if c := (&call{free: true}); !d.choose(c) || c.group != 0 {
+		t.Fatal("not given to the only leader there is")
+	}
+}
+
 // TestNames: a name tells the group; one that no group gave is looked for in all.
 func TestNames(t *testing.T) {
 	for _, g := range []unit.Group{0, 9, 35, 200} {
--- a/internal/ingest/edge.go
+++ b/internal/ingest/edge.go
@@ -54,6 +54,13 @@
 	whoAt  unit.Millis // when it was last asked for
 	turn   int
 	seenAt unit.Millis // when it last answered
+	oldest unit.Millis // when what it has not answered for longest was sent; 0: nothing
+}
+
+// late tells whether a leader has kept messages waiting for longer than usual
+// without a word: those that any group may take go to another.
+func (x *lead) late(now, than unit.Millis) bool {
+	return x.oldest > 0 && now-x.oldest > than && now-x.seenAt > than
 }
 
 // bounds of an edge, all from the settings.
@@ -62,6 +69,7 @@
 	bytes  int         // their bodies
 	again  unit.Millis // a message without an outcome is handed in anew
 	quiet  unit.Millis
+	late   unit.Millis // a leader that answers nothing for so long is passed by
 	wait   unit.Millis // the longest a message waits for its outcome
 	header int
 	body   int64
@@ -74,7 +82,7 @@
 	d.shown.Store(d.config)
 	d.b = bounds{
 		calls: set.Int("edge_calls", 4000), bytes: max(4<<20, set.MemoryMB<<20/8),
-		again: unit.Millis(set.Int("forward_again_ms", 250)), quiet: unit.Millis(set.Int("replica_quiet_ms", 400)),
+		again: unit.Millis(set.Int("forward_again_ms", 250)), quiet: unit.Millis(set.Int("replica_quiet_ms", 400)), late: unit.Millis(set.Int("replica_late_ms", 120)),
 		wait: unit.Millis(set.Int("answer_wait_ms", 2500)), header: 32 << 10, body: 1 << 20,
 	}
 	addr := set.Inner(ground.PortEdge)
