--- a/internal/ingest/edge.go
+++ b/internal/ingest/edge.go
@@ -60,7 +60,7 @@
 // late tells whether a leader has kept messages waiting for longer than usual
 // without a word: those that any group may take go to another.
 func (x *lead) late(now, than unit.Millis) bool {
-	return x.oldest > 0 && now-x.oldest > than && now-x.seenAt > than
+	return x.oldest != 0 && now-x.oldest > than && now-x.seenAt > than
 }
 
 // bounds of an edge, all from the settings.
