--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -4,9 +4,9 @@
 package kin
 
 import (
+	"cmp"
 	"net"
 	"slices"
-	"sort"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -47,15 +47,17 @@
 			out = append(out, n)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Zone != out[j].Zone {
-			return out[i].Zone < out[j].Zone
-		}
-		return out[i].Addr < out[j].Addr
-	})
+	slices.SortFunc(out, compare)
 	return out
 }
 
+// compare is the order of the ring: zone by zone.
+func compare(a, b rule.Node) int {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Addr, b.Addr))
+}
+
+func backwards(a, b rule.Node) int { return compare(b, a) }
+
 // Watch is a node's part in the ring. Its tables belong to one actor; the
 // socket's reader hands beats over through Heard.
 type Watch struct {
@@ -119,16 +121,13 @@
 	w.sendTo = nil
 	old := w.watched
 	w.watched = map[unit.Node]*watched{}
-	ring := ring(nodes)
-	at := place(ring, w.Self)
-	if at < 0 {
-		return
-	}
-	for i := 1; i < len(ring) && i <= Count; i++ {
-		if u, err := net.ResolveUDPAddr("udp4", string(ring[(at+i)%len(ring)].Addr)); err == nil {
+	next, prev := around(nodes, w.Self, Count)
+	for _, n := range next {
+		if u, err := net.ResolveUDPAddr("udp4", string(n.Addr)); err == nil {
 			w.sendTo = append(w.sendTo, u)
 		}
-		n := ring[(at-i+len(ring))%len(ring)]
+	}
+	for _, n := range prev {
 		if o := old[n.Addr]; o != nil && o.life == n.Life {
 			w.watched[n.Addr] = o
 		} else {
@@ -137,6 +136,52 @@
 	}
 }
 
+// around gives the k nodes after n on the ring and the k before it, nearest
+// first; none when n has no place on it. Each change of the news asks for them at
+// every node, so the ring is not sorted for it: one look at each node does.
+func around(nodes []rule.Node, n unit.Node, k int) (next, prev []rule.Node) {
+	at := slices.IndexFunc(nodes, func(x rule.Node) bool { return x.Addr == n && !x.Gone })
+	if at < 0 {
+		return nil, nil
+	}
+	self := nodes[at]
+	var after, first, before, last []rule.Node // the k nearest, and the k at the ends
+	for _, x := range nodes {
+		if x.Gone || x.Addr == n {
+			continue
+		}
+		if c := compare(x, self); c > 0 {
+			after = nearest(after, x, k, compare)
+		} else {
+			before = nearest(before, x, k, backwards)
+		}
+		first, last = nearest(first, x, k, compare), nearest(last, x, k, backwards)
+	}
+	return fill(after, first, k), fill(before, last, k)
+}
+
+// nearest keeps the k first of what it is given, in order.
+func nearest(list []rule.Node, x rule.Node, k int, cmp func(a, b rule.Node) int) []rule.Node {
+	i, _ := slices.BinarySearchFunc(list, x, cmp)
+	if i >= k {
+		return list
+	}
+	if list = slices.Insert(list, i, x); len(list) > k {
+		list = list[:k]
+	}
+	return list
+}
+
+// fill goes on around the ring's end.
+func fill(list, more []rule.Node, k int) []rule.Node {
+	for _, x := range more {
+		if len(list) < k && !slices.ContainsFunc(list, func(y rule.Node) bool { return y.Addr == x.Addr }) {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
 // Heard notes a beat.
 func (w *Watch) Heard(n unit.Node, life unit.Life, now unit.Millis) {
 	if x := w.watched[n]; x != nil && x.life == life {
--- a/internal/kin/kin_test.go
+++ b/internal/kin/kin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"testing"
 
 	"oxbowdeck/internal/rule"
@@ -84,3 +85,33 @@
 		t.Fatalf("a watcher that was frozen reported %v", told)
 	}
 }
+
+// TestAround: the neighbours found in one look are those of the sorted ring.
+func TestAround(t *testing.T) {
+	for seed := int64(1); seed <= 200; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		var nodes []rule.Node
+		for i := 0; i < rng.Intn(12); i++ {
+			nodes = append(nodes, rule.Node{Addr: unit.Node(fmt.Sprint("n", rng.Intn(1000)*100+i)), Zone: unit.Zone(fmt.Sprint(rng.Intn(3))), Gone: rng.Intn(5) == 0})
+		}
+		for _, n := range append(nodes, rule.Node{Addr: "nobody"}) {
+			next, prev := around(nodes, n.Addr, Count)
+			r := ring(nodes)
+			at := place(r, n.Addr)
+			if at < 0 {
+				if next != nil || prev != nil {
+					t.Fatalf("seed %d: %s is not on the ring and has neighbours", seed, n.Addr)
+				}
+				continue
+			}
+			if want := min(Count, len(r)-1); len(next) != want || len(prev) != want {
+				t.Fatalf("seed %d: %d after, %d before, want %d", seed, len(next), len(prev), want)
+			}
+			for i := range next {
+				if next[i] != r[(at+i+1)%len(r)] || prev[i] != r[(at-i-1+len(r))%len(r)] {
+					t.Fatalf("seed %d: neighbour %d of %s: %s and %s", seed, i, n.Addr, next[i].Addr, prev[i].Addr)
+				}
+			}
+		}
+	}
+}
