--- a/internal/plot/scale_test.go
+++ b/internal/plot/scale_test.go
@@ -43,12 +43,23 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		scale(t, n)
+		scale(t, n, "2")
 	}
 }
 
-func scale(t *testing.T, size int) {
-	all, err := Write(Plan{Dir: t.TempDir(), Zones: 3, Edges: 1, Base: 22100, Net: network(1)})
+// TestScaleShards measures what shards without traffic cost: SCALE_SHARDS is a
+// list of how many.
+func TestScaleShards(t *testing.T) {
+	if os.Getenv("SCALE_SHARDS") == "" {
+		t.Skip("set SCALE_SHARDS=8,64,200 to measure")
+	}
+	for _, shards := range strings.Split(os.Getenv("SCALE_SHARDS"), ",") {
+		scale(t, 0, shards)
+	}
+}
+
+func scale(t *testing.T, size int, shards string) {
+	all, err := Write(Plan{Dir: t.TempDir(), Zones: 3, Edges: 1, Base: 22100, Net: network(1), Extra: []string{"tuning.shards=" + shards}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -145,9 +156,12 @@
 			num[role]++
 		}
 		t.Logf("size %d, %s: most of a core in %%: control %.2f, store %.2f, edge %.2f; memory MB: %.0f, %.0f, %.0f; an edge is told %.0f bytes/s",
-			size, what, cpu["core"], cpu["store"], cpu["edge"], mem["core"], mem["store"], mem["edge"], float64(bytesAt)/secs/float64(size))
+			size, what, cpu["core"], cpu["store"], cpu["edge"], mem["core"], mem["store"], mem["edge"], float64(bytesAt)/secs/float64(max(1, size)))
+	}
+	measure("calm, "+shards+" shards", 10*time.Second, func() {})
+	if size == 0 {
+		return
 	}
-	measure("calm", 10*time.Second, func() {})
 	release, worst := 3, time.Duration(0)
 	measure("a change of 50 routes each second", 10*time.Second, func() {
 		for i := 0; i < 10; i++ {
