--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"oxbowdeck/internal/pack"
@@ -99,23 +101,23 @@
 	}
 }
 
-// cut is an attempt without an answer. One on a connection that had rested says
-// little of the worker: it may have closed it meanwhile.
+// atOnce is how soon a worker that has no room for a connection resets it.
+const atOnce = 100 * time.Millisecond
+
+// cut is an attempt without an answer. A connection that had rested may have been
+// closed meanwhile, and one more than a worker takes is reset at once: neither
+// says that the worker is ill.
 func (a *Attempt) cut(l *line, err error) Result {
 	r := Result{outcome: queue.Lost, kind: silent, err: err}
-	if l.used && !timedOut(err) {
+	if reset(err) && (l.used || time.Since(l.since) < atOnce) {
 		r.kind = refused
 	}
 	return r
 }
 
-func timedOut(err error) bool {
-	f, ok := err.(*unit.Fault)
-	if !ok {
-		return false
-	}
-	t, ok := f.Err.(interface{ Timeout() bool })
-	return ok && t.Timeout()
+// reset tells whether the other end closed or reset the connection.
+func reset(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // judge tells what a whole answer means.
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -158,8 +158,9 @@
 	}
 }
 
-// most is how many connections one worker gets from here: what it accepts,
-// shared by all leaders. Messages to a fixed endpoint, or under a ceiling, come
+// most is how many connections one worker gets from here: six tenths of what it
+// accepts, shared by all leaders, so that one that just began finds room while the
+// connections of the one before it still rest. Messages to a fixed endpoint come
 // from one.
 func (h *Host) most(s *service) int {
 	limit := s.ConnLimit
@@ -173,7 +174,7 @@
 	if h.news != nil {
 		shards = max(1, len(h.news.Shards))
 	}
-	return max(1, limit/shards)
+	return max(1, limit*6/10/shards)
 }
 
 // pick chooses a worker for an attempt: the emptier of two of this zone, and only
@@ -311,7 +312,13 @@
 	next := now + 200
 	if now >= h.tidyAt {
 		h.tidyAt = now + 250
-		at := time.Now()
+		at, leads := time.Now(), false
+		for _, s := range h.shards {
+			leads = leads || s.leading
+		}
+		if !leads {
+			at = at.Add(time.Hour) // nothing is sent from here: the room is others'
+		}
 		for _, w := range h.workers {
 			w.pool.tidy(at)
 		}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -188,7 +188,7 @@
 		}
 		p.avoid = b.w.ID
 		wait := unit.Millis(15)
-		if r.outcome != queue.NotRun {
+		if r.outcome != queue.NotRun && r.kind != refused {
 			p.n++
 			wait = min(unit.Millis(60)<<(2*min(p.n-1, 4)), 4000)
 			if b.w.fixed && r.outcome == queue.Failed {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -111,10 +111,11 @@
 
 // line is a connection to a worker.
 type line struct {
-	c    net.Conn
-	r    *bufio.Reader
-	till time.Time // the worker keeps it for so long
-	used bool
+	c     net.Conn
+	r     *bufio.Reader
+	since time.Time
+	till  time.Time // the worker keeps it for so long
+	used  bool
 }
 
 // keepIdle is how long a connection rests when its worker does not say how long
@@ -169,7 +170,7 @@
 		return nil, unit.Err("dial", addr, err)
 	}
 	lane.Tune(c, silence)
-	return &line{c: c, r: bufio.NewReaderSize(c, 2<<10)}, nil
+	return &line{c: c, r: bufio.NewReaderSize(c, 2<<10), since: time.Now()}, nil
 }
 
 // keepOf reads how long a worker keeps a connection that rests.
