--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -247,8 +247,9 @@
 		return
 	}
 	clock := s.host.Group(s.group).Time(now)
+	route := s.host.config.Route(r.Msg.Host, r.Msg.Path)
 	switch p := s.pauses[r.Pos]; {
-	case r.Runs && clock < r.RunEnd: // sent by one that led before
+	case r.Runs && clock < r.RunEnd && !s.safe(route): // sent by one that led before
 		s.after(now+r.RunEnd-clock+5, r.Pos)
 		return
 	case clock < r.Due:
@@ -261,7 +262,6 @@
 		s.after(now+30, r.Pos) // taken under a configuration that is not here yet
 		return
 	}
-	route := s.host.config.Route(r.Msg.Host, r.Msg.Path)
 	if route == nil || route.Class != rule.Deferred {
 		s.say(now, queue.Mark{Pos: r.Pos, Try: r.Tries, Outcome: queue.Dropped})
 		return
@@ -278,6 +278,16 @@
 	}
 }
 
+// safe tells whether a message may be sent again while it may still run: its
+// service knows the ids of what it did, and of what it is doing.
+func (s *Shard) safe(route *rule.Space) bool {
+	if route == nil {
+		return false
+	}
+	svc := s.host.services[route.Service]
+	return svc != nil && svc.Dedup
+}
+
 // send books room for what waits.
 func (s *Shard) send(now unit.Millis) {
 	for _, name := range slices.Sorted(maps.Keys(s.lines)) {
@@ -314,7 +324,7 @@
 			w.under++
 			timeout := unit.Millis(route.GuardMs)
 			s.booked[pos] = &booking{w: w, at: now, try: r.Tries, timeout: timeout, limit: uint16(max(1, route.Attempts))}
-			s.begins = append(s.begins, queue.Mark{Pos: pos, Try: r.Tries, For: timeout + 60})
+			s.begins = append(s.begins, queue.Mark{Pos: pos, Try: r.Tries, For: timeout + 60, Safe: svc.Dedup})
 		}
 		l.q = l.q[n:]
 		if len(l.q) == 0 {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -29,8 +29,9 @@
 const simConfig = `{"config_release":1,"routing_entries":[
 {"label":"a","host_id":"","path_prefix":"/plain","route_class":"deferred","guard_timer_ms":800,"service_ref":"list","max_attempts":4,"hold_s":600},
 {"label":"b","host_id":"","path_prefix":"/row","route_class":"deferred","guard_timer_ms":600,"service_ref":"list","max_attempts":4,"in_sequence":true,"hold_s":600},
+{"label":"d","host_id":"","path_prefix":"/pair","route_class":"deferred","guard_timer_ms":600,"service_ref":"pair","max_attempts":4,"in_sequence":true,"hold_s":600},
 {"label":"c","host_id":"","path_prefix":"/fixed","route_class":"deferred","guard_timer_ms":600,"service_ref":"desk","max_attempts":4,"hold_s":600}],
-"service_set":[{"label":"list","conn_limit":60},{"label":"desk","conn_limit":40,"rate_per_s":%g,"fixed_endpoint":"10.0.0.9:1"}]}`
+"service_set":[{"label":"list","conn_limit":60},{"label":"pair","conn_limit":60,"dedup_capable":true},{"label":"desk","conn_limit":40,"rate_per_s":%g,"fixed_endpoint":"10.0.0.9:1"}]}`
 
 const simRate = 20
 
@@ -53,6 +54,7 @@
 	fails    int
 	never    bool
 	poison   bool
+	runs     unit.Millis // a worker is at it until then
 	over     unit.Millis // it has ended, as workers and senders know
 	readBy   *simNode    // who read a success
 	readLife unit.Life
@@ -186,9 +188,20 @@
 		tell(2, Result{outcome: queue.NotRun, kind: refused})
 		return
 	}
+	if m.Path == "/pair" {
+		if s.now < m.runs {
+			tell(1, Result{outcome: queue.NotRun, kind: refused})
+			return
+		}
+		for seal := range m.seals {
+			tell(1, Result{outcome: queue.Done, seal: seal})
+			return
+		}
+	}
 	s.arrive(m)
 	work := unit.Millis(20 + s.rng.Intn(100))
 	limit := unit.Millis(a.timeout / time.Millisecond)
+	m.runs = s.now + work + 2
 	switch {
 	case dice < 8: // hangs
 		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
@@ -233,7 +246,7 @@
 	if r := m.readBy; r != nil && r.up && r.life == m.readLife {
 		s.fault("TWICE %s runs again after a success that %s read", m.ID, r.host.Self.Addr)
 	}
-	if strings.HasPrefix(m.Path, "/row") && m.Key != "" {
+	if m.Key != "" {
 		for _, o := range s.order {
 			if o != m && o.Key == m.Key && o.told > 0 && o.told < m.sent && o.over == 0 {
 				s.fault("ORDER %s begins before %s has ended", m.ID, o.ID)
@@ -256,8 +269,8 @@
 
 func (s *sim) send() {
 	m := &simMsg{sent: s.now, seals: map[string]bool{}, poison: s.rng.Intn(60) == 0}
-	m.Message = queue.Message{ID: "m" + strconv.Itoa(len(s.order)), Method: "POST", Hold: 600000, Release: 1, Path: []string{"/plain", "/row", "/row", "/fixed"}[s.rng.Intn(4)]}
-	if m.Path == "/row" {
+	m.Message = queue.Message{ID: "m" + strconv.Itoa(len(s.order)), Method: "POST", Hold: 600000, Release: 1, Path: []string{"/plain", "/row", "/row", "/fixed", "/pair"}[s.rng.Intn(5)]}
+	if m.Path == "/row" || m.Path == "/pair" {
 		m.Key, m.Ordered = "k"+strconv.Itoa(s.rng.Intn(3)), s.spoil != "order"
 	}
 	if m.Path == "/plain" && s.rng.Intn(3) == 0 {
@@ -371,8 +384,8 @@
 		rate = 0
 	}
 	s.news = &rule.News{Seq: 1, Release: 1, Config: rule.Pack([]byte(fmt.Sprintf(simConfig, rate))), Shards: []rule.Shard{{}}}
-	for i := 0; i < 6; i++ {
-		s.news.Workers = append(s.news.Workers, rule.Worker{ID: "w" + strconv.Itoa(i), Service: "list", Addr: "10.0.0.1:1", Zone: "z", Slots: 3})
+	for i := 0; i < 9; i++ {
+		s.news.Workers = append(s.news.Workers, rule.Worker{ID: "w" + strconv.Itoa(i), Service: []string{"list", "list", "pair"}[i%3], Addr: "10.0.0.1:1", Zone: "z", Slots: 3})
 	}
 	for i := 0; i < 3; i++ {
 		s.nodes = append(s.nodes, &simNode{sim: s, i: i})
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -69,6 +69,7 @@
 	Seal    string      // of a success
 	Limit   uint16      // of Failed: after so many the message is spent
 	For     unit.Millis // of Begin: it may run for so long
+	Safe    bool        // of Begin: the service runs no message a second time
 }
 
 // Command is one request's content.
@@ -249,9 +250,10 @@
 }
 
 // begin takes up an attempt: of a message that has not ended, is the first of
-// its key, and has no attempt under way that may still run.
+// its key, and has no attempt under way that may still run, unless that would do
+// no harm.
 func (s *State) begin(r *Row, m Mark) bool {
-	if r == nil || r.End != Open || !s.First(r) || m.Try != r.Tries || r.Runs && s.clock < r.RunEnd {
+	if r == nil || r.End != Open || !s.First(r) || m.Try != r.Tries || r.Runs && s.clock < r.RunEnd && !m.Safe {
 		return false
 	}
 	r.Tries++
