The dispatcher loses what nothing read: a flag, a bound, a count

Found on reading the change again: every step books what it can, so the flag that room came free was never asked; the window of ceilings and the depth were not used. Behaviour as it was; tests of dispatch, ingest, hold and plot pass.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -28,7 +28,6 @@
 	Dial   time.Duration // to a worker
 	Shut   unit.Millis   // a worker that fails is left alone for so long at first
 	Report unit.Millis   // how messages ended is told for so long
-	Window unit.Millis   // of a ceiling
 }
 
 // Group is what a host asks of the replica of one group.
@@ -153,9 +152,6 @@
 			}
 		}
 	}
-	for _, s := range h.shards {
-		s.stir = true
-	}
 }
 
 // most is how many connections one worker gets from here: six tenths of what it
@@ -232,9 +228,6 @@
 		if x, ok := lane.Get[trace.Granted](b); ok {
 			if s := h.services[x.Service]; s != nil {
 				s.granted, s.grantEnd = x.N, now+grantFor
-				for _, sh := range h.shards {
-					sh.stir = true
-				}
 			}
 		}
 	default:
@@ -334,11 +327,3 @@
 	b, err := cbor.Marshal(c)
 	return accord.Request{ID: accord.ID{Origin: h.origin, Seq: h.seq}, Data: b}, err
 }
-
-// Depth is how much stands in a shard here, for those who ask.
-func (h *Host) Depth(g unit.Group) (open, ended int) {
-	if s := h.shards[g]; s != nil {
-		return s.state.Open(), s.state.Ended()
-	}
-	return 0, 0
-}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -23,7 +23,6 @@
 	leading bool
 	lead    unit.Node
 	rescan  bool // look at every message anew
-	stir    bool // room may have come free
 	timers  timers
 	lines   map[string]*waiting // due messages, by service
 	booked  map[unit.Pos]*booking
@@ -174,7 +173,6 @@
 	b.over = true
 	b.w.under--
 	b.w.note(now, r, s.host.B.Shut, s.host.Rand)
-	s.stir = true
 	if r.outcome == queue.Lost || r.outcome == queue.Failed {
 		unit.Log("attempt", "group", s.group, "pos", pos, "try", try, "outcome", r.outcome, "worker", b.w.ID, "status", r.status, "err", r.err)
 	}
@@ -234,7 +232,6 @@
 	if b := s.booked[pos]; b != nil && !b.running {
 		b.w.under--
 		delete(s.booked, pos)
-		s.stir = true
 	}
 }
 
@@ -274,7 +271,6 @@
 	if !l.in[r.Pos] {
 		l.in[r.Pos] = true
 		l.q = append(l.q, r.Pos)
-		s.stir = true
 	}
 }
 
@@ -378,7 +374,6 @@
 		}
 		s.send(now)
 	}
-	s.stir = false
 	next := now + 200
 	if now >= s.flushAt {
 		if s.flush(now, gr, lead, here) {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -162,7 +162,7 @@
 		Run: func(a *Attempt, _ *Pool, done func(Result)) {
 			n.in(unit.Millis(1+n.rng.Intn(3)), func() { n.work(n, life, a, done) })
 		},
-		B: Bounds{Mark: 5, Late: 400, Dial: time.Second, Shut: 300, Report: 1 << 40, Window: 5000}})
+		B: Bounds{Mark: 5, Late: 400, Dial: time.Second, Shut: 300, Report: 1 << 40}})
 	n.host.News(n.news, n.now)
 	n.shard = n.host.Open(0)
 }
--- a/internal/hold/messages.go
+++ b/internal/hold/messages.go
@@ -31,7 +31,6 @@
 			Dial:   time.Duration(set.Int("worker_dial_ms", 400)) * time.Millisecond,
 			Shut:   unit.Millis(set.Int("eject_ms", 600)),
 			Report: Report(set),
-			Window: unit.Millis(set.WindowS * 1000),
 		}})
 }
 
