A leader without a majority resigns; contact by echoed stamps; no seat before it holds

Cause: a leader that was cut off led until it heard of a higher epoch, a follower called itself fresh on the word of a leader that may have been cut off with it, and a seat was given away while the newcomer was up to 512 instances behind, so that a second loss right after could take what was decided.

--- /dev/null
+++ b/internal/accord/contact_test.go
@@ -0,0 +1,148 @@
+package accord
+
+import (
+	"testing"
+
+	"oxbowdeck/internal/unit"
+)
+
+// pairOf makes a leader a and a follower b of three, who have met.
+func pairOf(t *testing.T) (a, b *Core) {
+	t.Helper()
+	a = lead(t)
+	a.conf.Quorum, a.conf.Sound = 400, 1
+	b = replica(2, three, Boot{})
+	b.conf.Salt = 5000
+	a.Drain()
+	return a, b
+}
+
+// swap lets a beat and its answer pass between a leader and a follower.
+func swap(at unit.Millis, a, b *Core, late unit.Millis) {
+	a.beatAt = at - a.conf.Beat
+	a.Tick(at)
+	for _, s := range a.Drain().Sends {
+		if s.To == "b" {
+			b.Take(at+late, "a", s.Msg)
+		}
+	}
+	for _, s := range b.Drain().Sends {
+		a.Take(at+2*late, "b", s.Msg)
+	}
+}
+
+// TestContactComesFromStamps: a follower's contact is what it can be sure of: its
+// own stamp, given back, less the age of the leader's own contact.
+func TestContactComesFromStamps(t *testing.T) {
+	a, b := pairOf(t)
+	if _, ok := b.Contact(300); ok {
+		t.Fatal("in touch before anything was heard")
+	}
+	swap(300, a, b, 3)
+	if age, ok := a.Contact(306); !ok || age != 6 {
+		t.Fatalf("the leader's stamp of 300 came back: %d %v", age, ok)
+	}
+	if _, ok := b.Contact(306); ok {
+		t.Fatal("one beat says nothing: it may have been on its way for long")
+	}
+	swap(350, a, b, 3) // echoes b's stamp of 303, when a's contact was 50 ms old
+	if age, ok := b.Contact(353); !ok || age != 353-303+50 {
+		t.Fatalf("contact %d ms old, %v", age, ok)
+	}
+	// a beat of a leader that hears nobody brings no new contact, however new it is
+	was := b.contact.at
+	for at := unit.Millis(400); at < 600; at += 50 {
+		a.beatAt = 0
+		a.Tick(at)
+		for _, s := range a.Drain().Sends {
+			if s.To == "b" {
+				b.Take(at+3, "a", s.Msg)
+			}
+		}
+		b.Drain()
+	}
+	if b.contact.at > was+100 {
+		t.Fatalf("contact moved from %d to %d, though nobody answered the leader", was, b.contact.at)
+	}
+	if a.Tick(800); a.Role() == Leader {
+		t.Fatal("a leader that nobody answers goes on")
+	}
+}
+
+// TestContactWaitsForTheLog: being told is not enough; what was decided by then
+// must be here.
+func TestContactWaitsForTheLog(t *testing.T) {
+	b := replica(2, three, Boot{})
+	bal := unit.MakeBallot(1, 1)
+	b.Take(1000, "a", Msg{Kind: Beat, From: 1, Ballot: bal, Yes: true, At: 7})
+	b.Take(1010, "a", Msg{Kind: Beat, From: 1, Ballot: bal, Yes: true, At: 17, Commit: 1, Echo: b.stamp(1000), Age: 1})
+	if _, ok := b.Contact(1010); ok {
+		t.Fatal("in touch without the instance that the beat calls decided")
+	}
+	b.Take(1020, "a", Msg{Kind: Feed, From: 1, Ballot: bal, Commit: 1, Entries: []Entry{{Slot: 1, Ballot: bal, Val: encode(Value{}), Decided: true}}})
+	if age, ok := b.Contact(1020); !ok || age != 20 {
+		t.Fatalf("contact %d %v", age, ok)
+	}
+	// a stamp of an earlier life is known for one
+	n := replica(2, three, Boot{})
+	n.conf.Salt = 1 << 30
+	n.Take(1000, "a", Msg{Kind: Beat, From: 1, Ballot: bal, Yes: true, At: 27, Echo: b.stamp(900), Age: 1})
+	if _, ok := n.Contact(1000); ok {
+		t.Fatal("an echo of another life was taken")
+	}
+}
+
+// TestWhoStoodStillResignsFirst: a leader that wakes after long does nothing more
+// as leader, whatever it is called for first.
+func TestWhoStoodStillResignsFirst(t *testing.T) {
+	for name, call := range map[string]func(*Core){
+		"tick":   func(c *Core) { c.Tick(9000) },
+		"submit": func(c *Core) { c.Submit(9000, req("x", 1, 10), false) },
+		"reseat": func(c *Core) { c.Reseat(9000, three[:2]) },
+		"take":   func(c *Core) { c.Take(9000, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1}) },
+		"synced": func(c *Core) { c.Synced(9000, 99) },
+	} {
+		a, b := pairOf(t)
+		swap(300, a, b, 3)
+		if call(a); a.Role() == Leader {
+			t.Errorf("%s: it still leads", name)
+		}
+	}
+}
+
+// TestNoSeatBeforeItHolds: a newcomer has everything that was decided on its disk
+// when it is given a seat, and with it a majority of the new members.
+func TestNoSeatBeforeItHolds(t *testing.T) {
+	a := lead(t)
+	a.Drain()
+	for s := unit.Slot(1); s <= 2; s++ {
+		a.Submit(300, req("x", uint64(s), 300), false)
+		a.Synced(301, a.Drain().Token)
+		a.Take(302, "b", Msg{Kind: Accepted, From: 2, Ballot: a.leader, Slot: s})
+	}
+	if a.Commit() != 2 {
+		t.Fatal("nothing was decided")
+	}
+	d := Member{Num: 17, Node: "d"}
+	next := []Member{three[0], three[1], d}
+	a.SetLearners([]Member{d})
+	ask := func(want error, what string) {
+		t.Helper()
+		if err := a.Reseat(400, next); err != want {
+			t.Fatalf("%s: %v", what, err)
+		}
+	}
+	level := func(num unit.Num, at unit.Slot) {
+		a.Take(401, "x", Msg{Kind: Level, From: num, Ballot: a.leader, Commit: 2, Firm: at})
+	}
+	ask(ErrBehind, "nobody said what it holds")
+	level(2, 2)
+	ask(ErrBehind, "a majority holds it, the newcomer does not")
+	level(17, 1)
+	ask(ErrBehind, "the newcomer has applied it, and not all of it on its disk")
+	level(17, 2)
+	ask(nil, "the newcomer holds it")
+	if n, m := kinds(a.Drain(), Accept); n == 0 || m.Slot != 3 {
+		t.Fatal("not proposed")
+	}
+}
--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -20,6 +20,7 @@
 var (
 	ErrNotLeader = errors.New("not the leader")
 	ErrFull      = errors.New("too much is waiting")
+	ErrBehind    = errors.New("too few members hold what is decided")
 )
 
 type slot struct {
@@ -128,6 +129,10 @@
 	clock    unit.Millis              // the highest decided time
 	ledAt    unit.Millis              // when this leader's duty began, by its own steady clock
 	ledClock unit.Millis              // the decided time it began at
+	born     unit.Millis              // when this life began, by its own steady clock
+	contact  contact
+	seatWant []Member  // leader: a membership asked for, until enough of it hold seatGoal
+	seatGoal unit.Slot // what was decided when it was first asked for
 }
 
 // New starts a replica from what its disk holds.
@@ -146,6 +151,7 @@
 	// nobody was heard in this life: if all of them begin, there is no leader to
 	// wait for; if one lives, its members will not favour this replica
 	c.heardAt = now - max(0, conf.Patience-3*conf.Impatience)
+	c.born, c.contact.at = now, never
 	c.advance(now)
 	return c
 }
@@ -266,6 +272,7 @@
 // Synced tells that everything saved up to token is on the disk: answers held
 // back until then go out now.
 func (c *Core) Synced(now unit.Millis, token uint64) {
+	c.resign(now)
 	for len(c.firming) > 0 && c.firming[0].token <= token {
 		c.firm = c.firming[0].commit
 		c.firming = c.firming[1:]
@@ -294,6 +301,7 @@
 // Tick lets time pass.
 func (c *Core) Tick(now unit.Millis) {
 	c.now = now
+	c.resign(now)
 	switch c.role {
 	case Leader:
 		c.relent(now)
@@ -353,6 +361,7 @@
 
 // Take handles a message from another replica.
 func (c *Core) Take(now unit.Millis, from unit.Node, m Msg) {
+	c.resign(now)
 	c.seen[m.From] = now
 	switch m.Kind {
 	case Canvass:
@@ -390,13 +399,15 @@
 			return
 		}
 		c.follow(now, from, m.Ballot)
+		c.assured(now, m)
 		c.learn(now, from, m.Ballot, m.Commit)
 		if m.Yes {
-			c.send(from, Msg{Kind: Level, Ballot: m.Ballot, Commit: c.commit})
+			c.send(from, Msg{Kind: Level, Ballot: m.Ballot, Commit: c.commit, Firm: c.durable(), At: c.stamp(now), Echo: m.At})
 		}
 	case Level:
 		if c.role == Leader && m.Ballot == c.leader {
-			c.levels[m.From] = max(c.levels[m.From], m.Commit)
+			c.levels[m.From] = max(c.levels[m.From], m.Firm)
+			c.echoed(from, m)
 			if from == c.heir && !c.yielding && now-c.cededAt < c.conf.Beat && m.Commit+2 >= c.commit {
 				c.shut()
 				c.yielding = true
@@ -435,8 +446,14 @@
 
 // Mark puts the decided prefix on record, for a process that ends in order.
 func (c *Core) Mark() {
+	c.durable()
+	c.save(Record{}, wait{})
+}
+
+// durable is how far everything is decided and on this replica's disk.
+func (c *Core) durable() unit.Slot {
 	if len(c.waits) == 0 && c.unsure == 0 {
 		c.firm = c.commit
 	}
-	c.save(Record{}, wait{})
+	return c.firm
 }
--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -142,6 +142,7 @@
 			e.pending = false
 		}
 		c.leadNode = ""
+		c.seatWant = nil
 	}
 	if c.role != Follower {
 		c.heardAt = now
@@ -229,6 +230,8 @@
 	c.sounded = map[unit.Num]unit.Millis{}
 	c.courses = map[unit.Num]*course{}
 	c.seated = c.commit + 1 // what others hold is not known to a new leader
+	c.seatWant = nil
+	c.contact.lead(top)
 	c.leader, c.leadNode = c.promised, c.conf.Self.Node
 	c.next = c.commit + 1
 	c.repeats = nil
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -83,6 +83,7 @@
 // earlier one of its origin is still in the common lane, so no request passes
 // another of its origin.
 func (c *Core) Submit(now unit.Millis, r Request, urgent bool) error {
+	c.resign(now)
 	if c.role != Leader || c.yielding {
 		return ErrNotLeader
 	}
@@ -122,18 +123,48 @@
 }
 
 // Reseat asks for a new membership, effective Wnd instances after its decision.
+// It is proposed once a majority of it, and whoever is new in it, is known to
+// have all on disk that was decided when it was first asked for (ErrBehind until
+// then: ask again). What is decided afterwards is accepted by a majority of the
+// membership still in force. So no change leaves what was decided on fewer disks
+// than a majority of the new members.
 func (c *Core) Reseat(now unit.Millis, seats []Member) error {
+	c.resign(now)
 	if c.role != Leader || c.yielding {
 		return ErrNotLeader
 	}
 	if len(c.eras) > 1 || c.seatNext != nil || c.seating > c.commit {
 		return ErrFull // one change at a time
 	}
-	c.seatNext = seats
+	if !Same(c.seatWant, seats) {
+		c.seatWant, c.seatGoal = append([]Member(nil), seats...), c.commit
+		clear(c.sounded)
+		c.beat(now)
+	}
+	if !c.holding(seats, c.seatGoal) {
+		return ErrBehind
+	}
+	c.seatNext, c.seatWant = seats, nil
 	c.pump(now)
 	return nil
 }
 
+// holding tells whether a majority of some members, and each of them that has no
+// vote yet, said that it has everything up to an instance on its disk.
+func (c *Core) holding(seats []Member, goal unit.Slot) bool {
+	hold := map[unit.Num]bool{}
+	for _, m := range seats {
+		at := c.levels[m.Num]
+		if m.Num == c.conf.Self.Num {
+			at = c.durable()
+		}
+		if hold[m.Num] = at >= goal; !hold[m.Num] && !has(c.Seats(), m.Num) {
+			return false
+		}
+	}
+	return majority(seats, hold)
+}
+
 // shut closes every open batch: the leader hands over.
 func (c *Core) shut() {
 	for i := range c.lanes {
@@ -237,17 +268,23 @@
 
 func (c *Core) beat(now unit.Millis) {
 	c.beatAt, c.toldAt = now, c.commit
+	every := soundEvery
+	if c.conf.Sound > 0 {
+		every = c.conf.Sound
+	}
 	for _, m := range c.peers(true, true) {
-		sound := now-c.sounded[m.Num] >= soundEvery*c.conf.Beat
-		if sound {
+		b := Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit}
+		if at, ok := c.sounded[m.Num]; !ok || now-at >= unit.Millis(every)*c.conf.Beat || !c.Settled() {
 			c.sounded[m.Num] = now
+			b.Yes = true
+			c.assure(now, m.Node, &b)
 		}
-		c.send(m.Node, Msg{Kind: Beat, Ballot: c.leader, Commit: c.commit, Yes: sound || !c.Settled()})
+		c.send(m.Node, b)
 	}
 }
 
 // soundEvery so many beats a leader asks each replica how far it is, so that it
-// knows who is there and who is level.
+// knows who is there and who is level, unless Conf.Sound says otherwise.
 const soundEvery = 4
 
 // Silent is how long this leader has not heard a replica, counted from the
--- a/internal/accord/learn.go
+++ b/internal/accord/learn.go
@@ -106,6 +106,7 @@
 
 // advance moves the decided prefix on, and hands what it passes to be applied.
 func (c *Core) advance(now unit.Millis) {
+	defer c.settleClaim()
 	for {
 		e := c.log[c.commit+1]
 		if e == nil || !e.chosen {
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -104,6 +104,10 @@
 	Val     []byte      `cbor:"7,keyasint,omitempty"`
 	Entries []Entry     `cbor:"8,keyasint,omitempty"`
 	Yes     bool        `cbor:"9,keyasint,omitempty"`
+	Firm    unit.Slot   `cbor:"10,keyasint,omitempty"` // everything up to here is on the sender's disk
+	At      unit.Millis `cbor:"11,keyasint,omitempty"` // the sender's stamp, to be echoed
+	Echo    unit.Millis `cbor:"12,keyasint,omitempty"` // the newest stamp the sender has of the receiver
+	Age     unit.Millis `cbor:"13,keyasint,omitempty"` // so long before this a majority was in touch with the leader, plus one
 }
 
 // Envelope is a message with its address.
@@ -160,8 +164,14 @@
 	Impatience unit.Millis // a reset connection leaves this much patience
 	Nudge      unit.Millis // an answer later than this is asked for on the second path
 	Slow       unit.Millis // a leader whose batches usually take longer gives the duty up; 0: never
+	Sound      int         // every so many beats each replica is asked how far it is; 0: 4
+	Quorum     unit.Millis // a leader that no majority answered for so long steps down; 0: never
+	Salt       unit.Millis // drawn anew for each life: stamps of an earlier one are known by it
 }
 
+// MostSalt bounds Conf.Salt.
+const MostSalt = unit.Millis(1) << 40
+
 // Boot is what the disk (or a snapshot) says at start.
 type Boot struct {
 	Promised unit.Ballot
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -83,6 +83,8 @@
 		Impatience: unit.Millis(set.Int("impatience_ms", 30)),
 		Nudge:      unit.Millis(set.Int("nudge_ms", 30)),
 		Slow:       unit.Millis(set.Int("slow_ms", 150)),
+		Quorum:     unit.Millis(set.Int("quorum_ms", 3000)),
+		Salt:       rand.N(accord.MostSalt),
 	}
 }
 
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -101,7 +101,7 @@
 			d.entries[r.Entry.Slot] = *r.Entry
 		}
 	}
-	if w.snap != nil {
+	if w.snap != nil && (d.snap == nil || w.snap.slot > d.snap.slot) { // the vault writes them one after the other
 		d.snap = w.snap
 		for s := range d.entries {
 			if s <= w.snap.slot {
@@ -144,6 +144,7 @@
 	leaves  unit.Node
 
 	chosen  map[unit.Slot][]byte
+	highs   []high // how far some replica had decided, and since when
 	digests map[unit.Slot][]byte
 	acked   map[key]unit.Pos
 	refused map[key]bool
@@ -157,11 +158,17 @@
 	onTop  map[int64]int64
 	putSeq uint64
 
-	Decided, Acked, Refused, Elections, Configs, Swaps int
+	Decided, Acked, Refused, Elections, Configs, Swaps, Contacts int
 
 	leadSeen map[unit.Ballot]bool
 }
 
+// high is the highest instance decided anywhere, from a moment on.
+type high struct {
+	at   unit.Millis
+	slot unit.Slot
+}
+
 type key struct {
 	client unit.Client
 	seq    unit.Seq
@@ -240,7 +247,7 @@
 	}
 	sort.Slice(boot.Entries, func(i, j int) bool { return boot.Entries[i].Slot < boot.Entries[j].Slot })
 	conf := w.plan.Conf
-	conf.Self = n.member
+	conf.Self, conf.Salt = n.member, unit.Millis(w.rng.Int63n(int64(accord.MostSalt)))
 	n.core = accord.New(conf, boot, w.clock(n))
 	w.learners(n)
 	w.logf("start node=%s num=%d commit=%d promised=%d", n.member.Node, n.member.Num, n.core.Commit(), boot.Promised)
@@ -310,6 +317,7 @@
 			w.fail("window: %d undecided instances, WND is %d", k, w.plan.Conf.Wnd)
 		}
 	}
+	w.checkContact(n)
 	if n.bytes > w.plan.SnapAt && w.plan.SnapAt > 0 {
 		n.bytes = 0
 		w.store(n, write{snap: w.image(n)})
@@ -445,6 +453,24 @@
 	})
 }
 
+// checkContact: a replica that says it was in touch with a majority at some time
+// holds all that had been decided anywhere before, and a leader that is cut off
+// does not go on for long.
+func (w *World) checkContact(n *node) {
+	age, ok := n.core.Contact(w.clock(n))
+	if !ok || n.frozen {
+		return
+	}
+	w.Contacts++
+	i := sort.Search(len(w.highs), func(i int) bool { return w.highs[i].at >= w.now-age })
+	if i > 0 && w.highs[i-1].slot > n.core.Commit() {
+		w.fail("node %s stands at %d and says it was in touch %d ms ago: %d had been decided", n.member.Node, n.core.Commit(), age, w.highs[i-1].slot)
+	}
+	if q := w.plan.Conf.Quorum; q > 0 && n.core.Role() == accord.Leader && age > q+100 {
+		w.fail("node %s leads, and heard no majority for %d ms", n.member.Node, age)
+	}
+}
+
 // checkSend checks the bounds of batches and window on what goes out.
 func (w *World) checkSend(n *node, m accord.Msg) {
 	if m.Kind != accord.Accept {
@@ -474,6 +500,7 @@
 	}
 	if _, ok := w.chosen[d.Slot]; !ok {
 		w.chosen[d.Slot] = append([]byte{}, d.Raw...)
+		w.highs = append(w.highs, high{w.now, d.Slot})
 		w.Decided++
 	}
 	if d.Slot != n.state.Slot()+1 {
--- a/internal/maze/maze_test.go
+++ b/internal/maze/maze_test.go
@@ -14,7 +14,7 @@
 	return Plan{
 		Seed: seed, Voters: 3, Learners: 1, For: 12000,
 		Conf: accord.Conf{Wnd: 4, WndBytes: 4000, Bsz: 1500, Delta: 8, Beat: 60, Patience: 250, Stagger: 60,
-			OpenBytes: 1 << 20, FeedBytes: 3000, Impatience: 40, Nudge: 25, Slow: 60},
+			OpenBytes: 1 << 20, FeedBytes: 3000, Impatience: 40, Nudge: 25, Slow: 60, Quorum: 600},
 		Bounds: tale.Bounds{Slack: 1000, Resend: 10000, Marks: 10000, Topics: 100, Live: 1000, SweepMs: 200},
 		Loss:   0.02, Twice: 0.02, Troubles: All, Every: 400, Rate: 15, SnapAt: 30000, Sync: 6,
 	}
@@ -44,7 +44,7 @@
 			if err := w.Run(); err != nil {
 				t.Fatalf("%v\nagain: MAZE_SEED=%d go test ./internal/maze -run '%s' -v", err, s, t.Name())
 			}
-			if w.Acked < 100 || w.Elections < 1 || w.Configs < 1 {
+			if w.Acked < 100 || w.Elections < 1 || w.Configs < 1 || w.Contacts < 100 {
 				t.Fatalf("seed %d: nothing happened: %d accepted, %d elections", s, w.Acked, w.Elections)
 			}
 		})
