Several small rows in one synced write: an identity and its genesis, or neither

An identity was written in two steps; the power could go between them. PutAll puts rows in one synced batch. The test fills the disk at every seventh byte of it and takes the power: both rows or none.

--- a/internal/vault/layer_test.go
+++ b/internal/vault/layer_test.go
@@ -29,6 +29,7 @@
 	gone  map[storage.FileDesc]*held // removed, but the folder was not synced since
 	meta  storage.FileDesc
 	full  bool
+	room  int // bytes until it is full; 0: no bound
 	life  int
 }
 
@@ -157,6 +158,14 @@
 		}
 		return n, errFull
 	}
+	if w.d.room > 0 && w.d.room <= len(b) {
+		w.f.data = append(w.f.data, b[:w.d.room]...)
+		w.d.full = true
+		return w.d.room, errFull
+	}
+	if w.d.room > 0 {
+		w.d.room -= len(b)
+	}
 	w.f.data = append(w.f.data, b...)
 	return len(b), nil
 }
@@ -291,3 +300,32 @@
 		t.Fatalf("only %d writes were confirmed", all)
 	}
 }
+
+// TestRowsTogether: rows put together are there together, or none of them is,
+// after the disk filled at any byte of them and the power went.
+func TestRowsTogether(t *testing.T) {
+	put := 0
+	for room := 1; room < 500; room += 7 {
+		l := newLayer(int64(room))
+		v := l.open(t)
+		l.room = room
+		err := v.PutAll(map[string]any{"identity": room, "genesis": bytes.Repeat([]byte{'g'}, 300)})
+		l.lose()
+		l.full, l.room = false, 0
+		w := l.open(t)
+		var id int
+		var genesis []byte
+		one, err1 := w.Get("identity", &id)
+		two, err2 := w.Get("genesis", &genesis)
+		w.Close()
+		if err1 != nil || err2 != nil || one != two || err == nil && !one || one && (id != room || len(genesis) != 300) {
+			t.Fatalf("room %d: put %v; identity %v %v, genesis %v %v", room, err, one, err1, two, err2)
+		}
+		if err == nil {
+			put++
+		}
+	}
+	if put == 0 {
+		t.Fatal("nothing was put")
+	}
+}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -440,6 +440,19 @@
 	return unit.Err("write "+name, "disk", v.db.Put([]byte("m"+name), b, &opt.WriteOptions{Sync: true}))
 }
 
+// PutAll keeps small rows under one sync: all of them or none.
+func (v *Vault) PutAll(rows map[string]any) error {
+	var b leveldb.Batch
+	for name, val := range rows {
+		row, err := cbor.Marshal(val)
+		if err != nil {
+			return unit.Err("encode "+name, "disk", err)
+		}
+		b.Put([]byte("m"+name), row)
+	}
+	return unit.Err("write rows", "disk", v.db.Write(&b, &opt.WriteOptions{Sync: true}))
+}
+
 // ErrBusy: what the disk holds of the group is being dropped; try again soon.
 var ErrBusy = errors.New("the group is being dropped")
 
