--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -60,6 +60,7 @@
 	group  unit.Group
 	recs   []accord.Record
 	snap   *Snapshot
+	gen    uint32 // of the snapshot's rows
 	forget bool
 	row    []byte // a small row of the process itself
 	val    []byte
@@ -210,7 +211,7 @@
 		}
 		if len(snaps) > 0 {
 			var done bool
-			if !v.sure(func() (err error) { done, err = v.snapRow(snaps[0], next); return }) {
+			if !v.sure(func() (err error) { done, err = v.snapRow(&snaps[0], next); return }) {
 				next = 0 // rows that were not synced may be gone
 				continue
 			}
@@ -282,13 +283,17 @@
 }
 
 // snapRow writes one row of a snapshot; after the last one its head, synced,
-// and drops what the head makes needless.
-func (v *Vault) snapRow(j job, n uint32) (done bool, err error) {
-	var old snapHead
-	if _, err := v.get(key(j.group, 'S', 0), &old); err != nil {
-		return false, err
+// and drops what the head makes needless. A step that failed is done again under
+// the same generation: after the head, the one before it names other rows.
+func (v *Vault) snapRow(j *job, n uint32) (done bool, err error) {
+	if n == 0 {
+		var old snapHead
+		if _, err := v.get(key(j.group, 'S', 0), &old); err != nil {
+			return false, err
+		}
+		j.gen = old.Gen + 1
 	}
-	gen := old.Gen + 1
+	gen := j.gen
 	rows := uint32((len(j.snap.State) + snapRow - 1) / snapRow)
 	if n < rows {
 		from := int(n) * snapRow
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -105,7 +105,7 @@
 		v.SaveSnapshot(0, first, func() { done <- true })
 		save(t, v, 0, entry(4, 5, "d")) // records pass a snapshot that is being written
 		<-done
-		j := job{snap: &Snapshot{Slot: 3, State: big('k', 2*snapRow+99)}}
+		j := &job{snap: &Snapshot{Slot: 3, State: big('k', 2*snapRow+99)}}
 		for n := uint32(0); n < rows; n++ {
 			if over, err := v.snapRow(j, n); over || err != nil {
 				t.Fatal(over, err)
@@ -129,3 +129,21 @@
 		v.Close()
 	}
 }
+
+// TestSnapshotStepAgain: the disk refused what follows the head of a snapshot,
+// and the step is done again: its rows are the ones that were written.
+func TestSnapshotStepAgain(t *testing.T) {
+	v := newLayer(1).open(t)
+	defer v.Close()
+	for round := unit.Slot(1); round < 4; round++ {
+		j := &job{snap: &Snapshot{Slot: round, State: make([]byte, 2*snapRow)}}
+		for _, n := range []uint32{0, 0, 1, 1, 2, 2, 2} {
+			if _, err := v.snapRow(j, n); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, snap, err := v.Load(0); err != nil || snap.Slot != round {
+			t.Fatal(err)
+		}
+	}
+}
