A full, stalled or failing disk is waited for, at the start and for any time

Opening, reading and the rows put at the start are now tried with jittered pauses until the disk takes them or the process is told to end (exit 0); only a damaged folder ends it. Rows that nobody waits for keep their newest value alone, and past 16 MB of waiting records a replica takes no more entries.

--- a/cmd/flux/main.go
+++ b/cmd/flux/main.go
@@ -22,7 +22,7 @@
 	root := &cobra.Command{Use: "flux", Short: "the data plane of oxbowdeck", SilenceUsage: true}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
-		run("edge", "serve clients", func(s *ground.Settings) (daemon, error) {
+		run("edge", "serve clients", func(_ context.Context, s *ground.Settings) (daemon, error) {
 			if s.Front == "" || s.Ready == "" {
 				return nil, unit.Errf("settings", s.Name, "listen_addrs.front and listen_addrs.readiness are needed")
 			}
@@ -31,11 +31,11 @@
 			}
 			return voice.Start(s)
 		}),
-		run("store", "hold replicas of the topics", func(s *ground.Settings) (daemon, error) {
+		run("store", "hold replicas of the topics", func(ctx context.Context, s *ground.Settings) (daemon, error) {
 			if s.DataDir == "" {
 				return nil, unit.Errf("settings", s.Name, "data_dir is needed")
 			}
-			return hold.Start(s)
+			return hold.Start(ctx, s)
 		}),
 		ground.CheckCommand(), worker(), lore.Command(hold.Bounds(&ground.Settings{ResendS: 10}), hold.Report(&ground.Settings{ReportS: 120})))
 	if err := root.Execute(); errors.Is(err, lore.ErrFaults) {
@@ -51,7 +51,7 @@
 	Stop()
 }
 
-func run(name, short string, start func(*ground.Settings) (daemon, error)) *cobra.Command {
+func run(name, short string, start func(context.Context, *ground.Settings) (daemon, error)) *cobra.Command {
 	var path string
 	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		set, err := ground.Read(path)
@@ -59,11 +59,16 @@
 			return err
 		}
 		set.Fit()
-		d, err := start(set)
+		ctx, stop := ground.Told(context.Background())
+		defer stop()
+		d, err := start(ctx, set)
+		if ctx.Err() != nil && err != nil {
+			return nil // told to end before the disk let it begin
+		}
 		if err != nil {
 			return err
 		}
-		ground.Wait(context.Background(), path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() {
+		ground.Wait(ctx, path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() {
 			if s := ground.Reread(path); s != nil {
 				d.Hup(s)
 			}
--- a/cmd/norm/main.go
+++ b/cmd/norm/main.go
@@ -35,7 +35,12 @@
 				return unit.Errf("settings", path, "listen_addrs.control and data_dir are needed")
 			}
 			set.Fit()
-			d, err := edict.Start(set)
+			ctx, stop := ground.Told(context.Background())
+			defer stop()
+			d, err := edict.Start(ctx, set)
+			if ctx.Err() != nil && err != nil {
+				return nil // told to end before the disk let it begin
+			}
 			if err != nil {
 				return err
 			}
@@ -44,7 +49,7 @@
 			if err != nil {
 				return err
 			}
-			ground.Wait(context.Background(), path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() {
+			ground.Wait(ctx, path, time.Duration(set.Int("settings_look_s", 5))*time.Second, func() {
 				if s := ground.Reread(path); s != nil {
 					d.Hup(s)
 				}
--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -110,7 +110,7 @@
 	}
 	if snap != nil && len(snap.State) > 0 {
 		if err := m.Load(snap.State); err != nil {
-			return nil, unit.Err("load snapshot", "disk", err)
+			return nil, unit.Errf("load snapshot", "disk", "%w: %v", vault.ErrDamaged, err)
 		}
 	}
 	if len(boot.Eras) == 0 {
@@ -161,6 +161,9 @@
 			ch.Vault.Save(p.group, e.Saves, synced)
 		}
 		for _, s := range e.Sends {
+			if s.Msg.Kind == accord.Fetch && ch.clogged() {
+				continue // what it asks for could not be kept
+			}
 			l := ch.Hub.To(s.To)
 			if s.Spare {
 				l = ch.Hub.Spare(s.To)
@@ -231,11 +234,21 @@
 	ch.Vault.Compact()
 }
 
+// behindMost bounds the records that wait for a disk that refuses: far more than
+// the windows of a store's groups hold while it writes.
+const behindMost = 16 << 20
+
+// clogged tells that no more records can be taken until the disk writes.
+func (ch *Choir) clogged() bool { return ch.Vault.Behind() > behindMost }
+
 // Frame takes a frame from a peer if it is the engine's; run on the actor.
 func (ch *Choir) Frame(from unit.Node, k lane.Kind, b []byte) bool {
 	switch k {
 	case ch.Kind:
 		m, ok := lane.Get[accord.Msg](b)
+		if (m.Kind == accord.Accept || m.Kind == accord.Feed) && ch.clogged() {
+			return true // as if lost on the way: it is sent or asked for again
+		}
 		if p := ch.Parts[m.Group]; ok && p != nil {
 			p.Core.Take(unit.Steady(), from, m)
 			ch.flush(p)
@@ -263,6 +276,9 @@
 	if p == nil {
 		return accord.ErrNotLeader
 	}
+	if ch.clogged() {
+		return accord.ErrFull
+	}
 	err := p.Core.Submit(unit.Steady(), r, urgent)
 	ch.flush(p)
 	return err
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -1,6 +1,7 @@
 package edict
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -94,14 +95,15 @@
 	}
 }
 
-// Start opens the disk, joins norm's group and serves its peers.
-func Start(set *ground.Settings) (*Daemon, error) {
+// Start opens the disk, joins norm's group and serves its peers. A disk that
+// refuses is waited for, until the context ends.
+func Start(ctx context.Context, set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(1024), waiting: map[accord.ID]*asked{},
 		heirs: map[*lane.Link]unit.Slot{}, missed: map[life]map[unit.Node]unit.Millis{}, shards: map[unit.Group]*shardWord{},
 		seeds: ground.Norms(set), beats: map[string]unit.Millis{}}
 	addr := set.Inner(ground.PortNorm)
 	var err error
-	if d.vault, err = vault.Open(set.DataDir, false); err != nil {
+	if d.vault, err = vault.Open(ctx, set.DataDir, false); err != nil {
 		return nil, err
 	}
 	d.vault.Failed = ground.Fatal
@@ -118,7 +120,10 @@
 	d.ch = &choir.Choir{Actor: d.actor, Hub: d.hub, Vault: d.vault, Kind: rule.KindNormGroup, SnapKind: rule.KindNormSnap,
 		TailAt: 1 << 20, SnapAt: 4 << 20, Parts: map[unit.Group]*choir.Part{}, Failed: ground.Fatal,
 		OnLead: func(_ unit.Group, b unit.Ballot, n unit.Node) { unit.Log("norm-leader", "epoch", b.Round(), "node", n) }}
-	if d.part, err = d.ch.Open(conf(set, accord.Member{Num: id.Num, Node: addr}), genesis, d); err != nil {
+	if err = vault.Until(ctx, func() (err error) {
+		d.part, err = d.ch.Open(conf(set, accord.Member{Num: id.Num, Node: addr}), genesis, d)
+		return err
+	}); err != nil {
 		return nil, err
 	}
 	d.reseated()
@@ -155,6 +160,7 @@
 		return id, genesis, err
 	}
 	id.Disk = rand.Uint64() >> 1
+	rows := map[string]any{}
 	if d.set.First {
 		ips := map[string]bool{}
 		var seeds []string
@@ -173,12 +179,10 @@
 				id.Num = m.Num
 			}
 		}
-		if err = d.vault.Put("genesis", genesis); err != nil {
-			return
-		}
+		rows["genesis"] = genesis
 	}
-	err = d.vault.Put("identity", id)
-	return
+	rows["identity"] = id
+	return id, genesis, d.vault.PutAll(rows)
 }
 
 // Apply, Save and Load make the daemon the group's machine.
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -79,21 +79,25 @@
 	return nil
 }
 
+// Told gives a context that ends at SIGTERM or SIGINT: also a process that is
+// still starting ends in order. SIGHUP says nothing until Wait.
+func Told(ctx context.Context) (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGHUP)
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
+
 // Wait calls hup at each SIGHUP and when the settings file at path changed
-// without one, and returns at SIGTERM or SIGINT.
+// without one, and returns when the context ends.
 func Wait(ctx context.Context, path string, look time.Duration, hup func()) {
 	t := time.NewTicker(look)
 	defer t.Stop()
 	stamp := stampOf(path)
 	c := make(chan os.Signal, 4)
-	signal.Notify(c, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(c, syscall.SIGHUP)
 	defer signal.Stop(c)
 	for {
 		select {
-		case s := <-c:
-			if s != syscall.SIGHUP {
-				return
-			}
+		case <-c:
 			stamp = stampOf(path)
 			hup()
 		case <-t.C:
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -3,6 +3,7 @@
 package hold
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"math/rand/v2"
@@ -98,16 +99,17 @@
 	}
 }
 
-// Start opens the disk, enrols and serves.
-func Start(set *ground.Settings) (*Daemon, error) {
+// Start opens the disk, enrols and serves. A disk that refuses is waited for,
+// until the context ends.
+func Start(ctx context.Context, set *ground.Settings) (*Daemon, error) {
 	d := &Daemon{set: set, actor: choir.NewActor(2048), shards: map[unit.Group]*shard{},
 		followers: map[*lane.Link]*follower{}, byEdge: map[unit.Node]*follower{}, hearers: map[*lane.Link]unit.Slot{}, strange: map[tale.Holder]unit.Millis{},
 		idle: map[unit.Group]unit.Millis{}, watchers: map[unit.Topic]map[*follower]bool{}, leads: map[unit.Group]trace.Lead{}}
 	var err error
 	if set.Kind == ground.Queue {
-		d.vault, err = vault.OpenBulk(set.DataDir)
+		d.vault, err = vault.OpenBulk(ctx, set.DataDir)
 	} else {
-		d.vault, err = vault.Open(set.DataDir, false)
+		d.vault, err = vault.Open(ctx, set.DataDir, false)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/lore/lore.go
+++ b/internal/lore/lore.go
@@ -3,6 +3,7 @@
 package lore
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -82,7 +83,7 @@
 
 // Read checks one directory and replays its groups.
 func Read(dir string, a Ask) (groups []Group, faults []Fault, err error) {
-	v, err := vault.Open(dir, true)
+	v, err := vault.Open(context.Background(), dir, true)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -4,8 +4,10 @@
 package vault
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"runtime"
@@ -25,18 +27,20 @@
 
 // Vault is an open data directory.
 type Vault struct {
-	Patience time.Duration // a disk that refuses writes for longer ends the process
-	Failed   func(error)
-	open     func() (*leveldb.DB, error)
-	dbMu     sync.RWMutex // held while the tables are opened anew
-	db       *leveldb.DB
-	mu       sync.Mutex
-	jobs     []job // bounded by the windows of the groups that write
-	more     chan struct{}
-	shut     bool
-	done     chan struct{}
-
-	going map[unit.Group]bool // being dropped
+	Failed func(error) // the directory is damaged: it cannot be written on
+	open   func() (*tables, error)
+	stop   context.Context // ended: what waits for the disk gives up
+	dbMu   sync.RWMutex    // held while the tables change
+	db     *tables         // nil while they are opened anew
+	mu     sync.Mutex
+	jobs   []job // bounded by who looks at Behind, and by one for each small row
+	behind int   // bytes of records queued or being written
+	more   chan struct{}
+	shut   bool
+	done   chan struct{}
+
+	offline bool                // read by a tool: nothing is waited for
+	going   map[unit.Group]bool // being dropped
 
 	compacting atomic.Bool
 }
@@ -62,8 +66,8 @@
 	snap   *Snapshot
 	gen    uint32 // of the snapshot's rows
 	forget bool
-	row    []byte // a small row of the process itself
-	val    []byte
+	rows   map[string][]byte // small rows of the process itself, by key
+	keep   bool              // nobody waits: a newer one of the same row takes its place
 	then   func()
 }
 
@@ -87,24 +91,36 @@
 	Commit   unit.Slot
 }
 
-// Open opens or makes the directory. Reading a closed one for the tools: readOnly.
-func Open(dir string, readOnly bool) (*Vault, error) {
-	return openTuned(dir, options(readOnly), readOnly)
+// Open opens or makes the directory. A disk that is full, stalled or fails is
+// waited for, until the context ends. Reading a closed one for the tools:
+// readOnly, which waits for nothing.
+func Open(ctx context.Context, dir string, readOnly bool) (*Vault, error) {
+	return openTuned(ctx, dir, options(readOnly), readOnly)
 }
 
 // OpenBulk opens one that much is written to and soon dropped: its journals are
 // larger and its tables seldom merged, so most of what a snapshot makes needless
 // is dropped before it was written a second time.
-func OpenBulk(dir string) (*Vault, error) {
+func OpenBulk(ctx context.Context, dir string) (*Vault, error) {
 	o := options(false)
 	o.WriteBuffer, o.CompactionTableSize = 4<<20, 8<<20
 	o.CompactionL0Trigger, o.WriteL0SlowdownTrigger, o.WriteL0PauseTrigger = 12, 32, 48
-	return openTuned(dir, o, false)
+	return openTuned(ctx, dir, o, false)
 }
 
-func openTuned(dir string, o *opt.Options, readOnly bool) (*Vault, error) {
-	v, err := openWith(dir, func() (*leveldb.DB, error) { return leveldb.OpenFile(dir, o) })
-	if err == nil && !readOnly {
+func openTuned(ctx context.Context, dir string, o *opt.Options, readOnly bool) (*Vault, error) {
+	open := func() (*tables, error) { return openDir(dir, o) }
+	if readOnly {
+		db, err := open()
+		if err != nil {
+			return nil, unit.Err("open", dir, err)
+		}
+		v := begin(ctx, db, open)
+		v.offline = true
+		return v, nil
+	}
+	v, err := openWith(ctx, dir, open)
+	if err == nil {
 		go v.settle(dir, settleEvery)
 	}
 	return v, err
@@ -119,21 +135,17 @@
 func (v *Vault) settle(dir string, every time.Duration) {
 	t := time.NewTicker(every)
 	defer t.Stop()
-	for {
+	for bad := false; ; {
 		select {
 		case <-t.C:
 		case <-v.done:
 			return
 		}
-		f, err := os.Open(dir)
-		if err != nil {
-			unit.Log("folder-refused", "err", err)
-			continue
-		}
-		if err := f.Sync(); err != nil {
+		err := syncDir(dir)
+		if err != nil && !bad {
 			unit.Log("folder-refused", "err", err)
 		}
-		f.Close()
+		bad = err != nil
 	}
 }
 
@@ -149,28 +161,105 @@
 	}
 }
 
-func openWith(name string, open func() (*leveldb.DB, error)) (*Vault, error) {
-	v := &Vault{Patience: 30 * time.Second, open: open, more: make(chan struct{}, 1), done: make(chan struct{}), going: map[unit.Group]bool{}}
-	var err error
-	if v.db, err = open(); err != nil {
+func openWith(ctx context.Context, name string, open func() (*tables, error)) (*Vault, error) {
+	var db *tables
+	err := Until(ctx, func() (err error) {
+		db, err = open()
+		return err
+	})
+	if err != nil {
 		return nil, unit.Err("open", name, err)
 	}
+	return begin(ctx, db, open), nil
+}
+
+func begin(ctx context.Context, db *tables, open func() (*tables, error)) *Vault {
+	v := &Vault{open: open, db: db, stop: ctx, more: make(chan struct{}, 1), done: make(chan struct{}), going: map[unit.Group]bool{}}
 	go v.work()
-	return v, nil
+	return v
 }
 
-// Close waits for what is queued.
+// Until does f until the disk lets it, with jittered pauses. It ends with a
+// directory that is damaged, or with the context, also while f is held up.
+func Until(ctx context.Context, f func() error) error {
+	first, began, pause := true, time.Now(), firstPause
+	for {
+		done := make(chan error, 1)
+		go func() { done <- f() }()
+		var err error
+		select {
+		case err = <-done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err == nil && !first {
+			unit.Log("disk-works", "after_ms", time.Since(began).Milliseconds())
+		}
+		if err == nil || damaged(err) {
+			return err
+		}
+		if first {
+			unit.Log("disk-refused", "err", err)
+		}
+		first = false
+		select {
+		case <-time.After(pause/2 + rand.N(pause)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// Pauses between tries on a disk that refuses.
+const firstPause, lastPause = 50 * time.Millisecond, 400 * time.Millisecond
+
+// ErrDamaged: what the directory holds contradicts itself.
+var ErrDamaged = errors.New("the directory is damaged")
+
+// damaged tells an error that no waiting mends.
+func damaged(err error) bool {
+	for e := err; e != nil; e = errors.Unwrap(e) {
+		if e == ErrDamaged || lderr.IsCorrupted(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// closeWithin bounds the wait for a disk that hangs at the end: what it did not
+// take was told to nobody.
+const closeWithin = 2 * time.Second
+
+// Close waits for what is queued, unless the disk refuses it.
 func (v *Vault) Close() {
 	v.mu.Lock()
 	v.shut = true
 	v.mu.Unlock()
 	v.nudge()
-	<-v.done
-	if v.db != nil {
-		v.db.Close()
+	closed := make(chan struct{})
+	go func() {
+		<-v.done
+		if db := v.swap(nil); db != nil {
+			db.Close()
+		}
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeWithin):
+		unit.Log("disk-stalled", "at", "close")
 	}
 }
 
+// swap puts other tables in place once nobody reads those there.
+func (v *Vault) swap(db *tables) (old *tables) {
+	v.dbMu.Lock()
+	defer v.dbMu.Unlock()
+	old, v.db = v.db, db
+	return old
+}
+
 func key(g unit.Group, kind byte, s unit.Slot) []byte {
 	return binary.BigEndian.AppendUint64([]byte{'g', byte(g), kind}, uint64(s))
 }
@@ -184,6 +273,7 @@
 		all, shut := v.jobs, v.shut
 		v.jobs = nil
 		v.mu.Unlock()
+		size := 0
 		var b leveldb.Batch
 		for _, j := range all {
 			switch {
@@ -196,14 +286,20 @@
 						n, next = n-1, 0
 					}
 				}
-				v.sure(func() error { return v.drop(key(j.group, 0, 0), key(j.group, 255, 0)) })
+				// synced: rows of a replica that ended must not come back among those of
+				// the next one here
+				v.sure(func() error { return v.drop(key(j.group, 0, 0), key(j.group, 255, 0), &opt.WriteOptions{Sync: true}) })
 			default:
 				put(&b, j)
+				size += j.size()
 			}
 		}
 		if b.Len() > 0 {
 			v.sure(func() error { return v.db.Write(&b, &opt.WriteOptions{Sync: true}) })
 		}
+		v.mu.Lock()
+		v.behind -= size
+		v.mu.Unlock()
 		for _, j := range all {
 			if j.snap == nil {
 				j.then()
@@ -235,9 +331,13 @@
 // doubtful state, so they are opened anew first: what was synced is read back,
 // what is written again is the same. Nobody is told of a write before that. False
 // when it took more than one try.
+//
+// A disk may be full for as long as it likes: a replica that cannot write
+// acknowledges nothing, and the group goes on without it; a process in its place
+// would meet the same disk. Only damage ends it.
 func (v *Vault) sure(write func() error) bool {
 	first := true
-	pause := 50 * time.Millisecond
+	pause := firstPause
 	for began := time.Now(); ; {
 		err := unit.Errf("write", "disk", "the tables are closed")
 		if v.db != nil {
@@ -255,26 +355,26 @@
 		v.mu.Lock()
 		shut := v.shut
 		v.mu.Unlock()
-		if shut || lderr.IsCorrupted(err) || time.Since(began) > v.Patience {
+		if shut {
+			runtime.Goexit() // an orderly end: nobody was told of it
+		}
+		if damaged(err) {
 			v.failed(unit.Err("write", "disk", err))
 		}
 		time.Sleep(pause/2 + rand.N(pause))
-		pause = min(2*pause, 400*time.Millisecond)
-		v.dbMu.Lock()
-		if v.db != nil {
-			v.db.Close()
-			v.db = nil
+		pause = min(2*pause, lastPause)
+		if db := v.swap(nil); db != nil {
+			db.Close()
 		}
 		if db, err := v.open(); err == nil {
-			v.db = db
-		} else if lderr.IsCorrupted(err) {
+			v.swap(db)
+		} else if damaged(err) {
 			v.failed(unit.Err("open", "disk", err))
 		}
-		v.dbMu.Unlock()
 	}
 }
 
-// failed ends the process: its disk does not write.
+// failed ends the process: its directory is damaged.
 func (v *Vault) failed(err error) {
 	if v.Failed != nil {
 		v.Failed(err)
@@ -308,10 +408,10 @@
 	if err := v.db.Put(key(j.group, 'S', 0), b, &opt.WriteOptions{Sync: true}); err != nil {
 		return false, err
 	}
-	if err := v.drop(key(j.group, 's', 0), key(j.group, 's', unit.Slot(gen)<<32)); err != nil {
+	if err := v.drop(key(j.group, 's', 0), key(j.group, 's', unit.Slot(gen)<<32), nil); err != nil {
 		return false, err
 	}
-	return true, v.drop(key(j.group, 'e', 0), key(j.group, 'e', j.snap.Slot+1))
+	return true, v.drop(key(j.group, 'e', 0), key(j.group, 'e', j.snap.Slot+1), nil)
 }
 
 // get reads a row; false when there is none.
@@ -323,13 +423,15 @@
 	if err != nil {
 		return false, err
 	}
-	return true, cbor.Unmarshal(b, into)
+	if err := cbor.Unmarshal(b, into); err != nil {
+		return false, fmt.Errorf("%w: %v", ErrDamaged, err)
+	}
+	return true, nil
 }
 
 func put(b *leveldb.Batch, j job) {
-	if j.row != nil {
-		b.Put(j.row, j.val)
-		return
+	for k, val := range j.rows {
+		b.Put([]byte(k), val)
 	}
 	var head headRow
 	for _, r := range j.recs {
@@ -346,7 +448,7 @@
 }
 
 // drop deletes a range of rows that a durable snapshot made needless.
-func (v *Vault) drop(from, to []byte) error {
+func (v *Vault) drop(from, to []byte, how *opt.WriteOptions) error {
 	it := v.db.NewIterator(&util.Range{Start: from, Limit: to}, &opt.ReadOptions{DontFillCache: true})
 	defer it.Release()
 	var b leveldb.Batch
@@ -356,17 +458,37 @@
 	if b.Len() == 0 {
 		return it.Error()
 	}
-	return v.db.Write(&b, nil)
+	return v.db.Write(&b, how)
 }
 
 // add never blocks the caller: completions come back to the same actor.
 func (v *Vault) add(j job) {
 	v.mu.Lock()
 	v.jobs = append(v.jobs, j)
+	v.behind += j.size()
 	v.mu.Unlock()
 	v.nudge()
 }
 
+// size is about what a job's records hold in memory.
+func (j *job) size() (n int) {
+	for _, r := range j.recs {
+		n += 64
+		if r.Entry != nil {
+			n += len(r.Entry.Val)
+		}
+	}
+	return n
+}
+
+// Behind is how many bytes of records wait for the disk. Who saves what others
+// send stops taking it in time: a disk may refuse for long.
+func (v *Vault) Behind() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.behind
+}
+
 func (v *Vault) nudge() {
 	select {
 	case v.more <- struct{}{}:
@@ -384,8 +506,15 @@
 	v.add(job{group: g, snap: &s, then: then})
 }
 
-// Load reads what the disk holds of a group.
+// Load reads what the disk holds of a group. ErrBusy: not now.
 func (v *Vault) Load(g unit.Group) (boot accord.Boot, snap *Snapshot, err error) {
+	if boot, snap, err = v.load(g); err != nil && !damaged(err) {
+		err = fmt.Errorf("%w: %v", ErrBusy, err)
+	}
+	return boot, snap, err
+}
+
+func (v *Vault) load(g unit.Group) (boot accord.Boot, snap *Snapshot, err error) {
 	v.mu.Lock()
 	busy := v.going[g]
 	v.mu.Unlock()
@@ -405,13 +534,16 @@
 	s := Snapshot{Slot: sh.Slot, Eras: sh.Eras}
 	for n := uint32(0); n < sh.Rows; n++ {
 		row, err := v.db.Get(key(g, 's', unit.Slot(sh.Gen)<<32|unit.Slot(n)), nil)
+		if errors.Is(err, leveldb.ErrNotFound) {
+			err = fmt.Errorf("%w: row %d of %d is missing", ErrDamaged, n, sh.Rows)
+		}
 		if err != nil {
 			return boot, nil, unit.Err("read snapshot", "disk", err)
 		}
 		s.State = append(s.State, row...)
 	}
 	if uint64(len(s.State)) != sh.Bytes {
-		return boot, nil, unit.Errf("read snapshot", "disk", "%d bytes, its head says %d", len(s.State), sh.Bytes)
+		return boot, nil, unit.Errf("read snapshot", "disk", "%w: %d bytes, its head says %d", ErrDamaged, len(s.State), sh.Bytes)
 	}
 	boot.Promised, boot.Commit, boot.Base, boot.Eras = head.Promised, head.Commit, s.Slot, s.Eras
 	if s.Slot > boot.Commit {
@@ -422,7 +554,7 @@
 	for it.Next() {
 		var row entryRow
 		if err := cbor.Unmarshal(it.Value(), &row); err != nil {
-			return boot, nil, unit.Err("read entry", "disk", err)
+			return boot, nil, unit.Errf("read entry", "disk", "%w: %v", ErrDamaged, err)
 		}
 		slot := unit.Slot(binary.BigEndian.Uint64(it.Key()[3:]))
 		boot.Entries = append(boot.Entries, accord.Entry{Slot: slot, Ballot: row.Ballot, Val: row.Val})
@@ -436,30 +568,36 @@
 	return boot, snap, nil
 }
 
-// Put and Get keep small rows of the process itself.
+// Put and Get keep small rows of the process itself. Put returns once the row is
+// synced, however long the disk takes, or once the process is told to end.
 func (v *Vault) Put(name string, val any) error {
-	b, err := cbor.Marshal(val)
-	if err != nil {
-		return unit.Err("encode "+name, "disk", err)
-	}
-	return unit.Err("write "+name, "disk", v.db.Put([]byte("m"+name), b, &opt.WriteOptions{Sync: true}))
+	return v.PutAll(map[string]any{name: val})
 }
 
-// PutAll keeps small rows under one sync: all of them or none.
-func (v *Vault) PutAll(rows map[string]any) error {
-	var b leveldb.Batch
-	for name, val := range rows {
+// PutAll is Put for several rows under one sync: all of them or none.
+func (v *Vault) PutAll(vals map[string]any) error {
+	rows := map[string][]byte{}
+	for name, val := range vals {
 		row, err := cbor.Marshal(val)
 		if err != nil {
 			return unit.Err("encode "+name, "disk", err)
 		}
-		b.Put([]byte("m"+name), row)
+		rows["m"+name] = row
+	}
+	synced := make(chan struct{})
+	v.add(job{rows: rows, then: func() { close(synced) }})
+	select {
+	case <-synced:
+		return nil
+	case <-v.stop.Done():
+		return unit.Err("write rows", "disk", v.stop.Err())
+	case <-v.done:
+		return unit.Errf("write rows", "disk", "the vault is closed")
 	}
-	return unit.Err("write rows", "disk", v.db.Write(&b, &opt.WriteOptions{Sync: true}))
 }
 
-// ErrBusy: what the disk holds of the group is being dropped; try again soon.
-var ErrBusy = errors.New("the group is being dropped")
+// ErrBusy: what the disk holds is being dropped, or cannot be read now; try again soon.
+var ErrBusy = errors.New("the disk is busy")
 
 // Forget queues the end of a group: all its rows go.
 func (v *Vault) Forget(g unit.Group) {
@@ -480,17 +618,45 @@
 		unit.Log("encode-failed", "row", name, "err", err)
 		return
 	}
-	v.add(job{row: []byte("m" + name), val: b, then: func() {}})
+	j := job{rows: map[string][]byte{"m" + name: b}, keep: true, then: func() {}}
+	v.mu.Lock()
+	for i := range v.jobs {
+		if _, same := v.jobs[i].rows["m"+name]; same && v.jobs[i].keep {
+			v.jobs[i] = j
+			v.mu.Unlock()
+			return
+		}
+	}
+	v.mu.Unlock()
+	v.add(j)
 }
 
-// Get reads a row; false when there is none.
-func (v *Vault) Get(name string, into any) (bool, error) {
-	found, err := v.get([]byte("m"+name), into)
+// Get reads a row, waiting as Put does; false when there is none.
+func (v *Vault) Get(name string, into any) (found bool, err error) {
+	read := func() (err error) {
+		v.dbMu.RLock()
+		defer v.dbMu.RUnlock()
+		if v.db == nil {
+			return ErrBusy
+		}
+		found, err = v.get([]byte("m"+name), into)
+		return err
+	}
+	if v.offline {
+		err = read()
+	} else {
+		err = Until(v.stop, read)
+	}
 	return found, unit.Err("read "+name, "disk", err)
 }
 
 // Groups lists the groups the disk holds anything of.
 func (v *Vault) Groups() (out []unit.Group, err error) {
+	v.dbMu.RLock()
+	defer v.dbMu.RUnlock()
+	if v.db == nil {
+		return nil, ErrBusy
+	}
 	it := v.db.NewIterator(util.BytesPrefix([]byte{'g'}), &opt.ReadOptions{DontFillCache: true})
 	defer it.Release()
 	for ok := it.First(); ok; {
@@ -524,7 +690,7 @@
 			db := v.db
 			v.dbMu.RUnlock()
 			if db != nil {
-				db.CompactRange(util.Range{})
+				db.CompactRange(util.Range{}) // refused: the next look at the room asks again
 			}
 		}()
 	}
