A control node is a state machine with a shell; its answers need a majority's contact

Cause: asking and answering, enrolling, news, beats of workers, who is lost, duties and leaving sat beside links, actor and files, so no simulated run could reach them; and a process that was cut off acknowledged workers, gave out sketch and news, and did a leader's duties. Change: edict.Control takes frames, calls, ticks, decided commands and broken links and acts through a Shell; edict.Daemon is that shell. One predicate, contact with a majority within the lease, stands before every answer from the state; without it the answer goes through the group's order. A worker's call is answered once the leader has it. Duties bear the leader's term (a fencing token); one of an earlier term changes nothing. Commands run are remembered by sessions, one a life of a control process, with the lowest number it waits for; configurations by a digest of the bytes as they came, 24 to 32 thousand of them. An order to empty a machine is bound to that machine, not to its name. Gone stores and control processes without a place are forgotten past 128. The state's fields are numbered; the format before is still read.

--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -309,6 +309,22 @@
 	return c.role == Leader && told && at+unit.Slot(64*c.conf.Wnd) >= c.commit
 }
 
+// Progress is how far a replica is, as its leader knows.
+type Progress struct {
+	Member
+	Voter bool
+	Firm  unit.Slot   // it has all up to here on its disk
+	Heard unit.Millis // so long ago
+}
+
+// Progress tells of each replica but this one.
+func (c *Core) Progress(now unit.Millis) (out []Progress) {
+	for _, m := range c.peers(true, true) {
+		out = append(out, Progress{Member: m, Voter: has(c.Seats(), m.Num), Firm: c.levels[m.Num], Heard: c.Silent(now, m.Num)})
+	}
+	return out
+}
+
 // Pending is how many instances are undecided at this leader, and the closed
 // and open bytes that wait.
 func (c *Core) Pending() (instances, bytes int) {
--- /dev/null
+++ b/internal/edict/format.go
@@ -0,0 +1,66 @@
+package edict
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/unit"
+)
+
+// stateV1 is a state as it was kept until fields were numbered.
+type stateV1 struct {
+	_       struct{} `cbor:",toarray"`
+	Slot    unit.Slot
+	Release int64
+	Config  []byte
+	Past    []struct {
+		_       struct{} `cbor:",toarray"`
+		Release int64
+		Sum     [32]byte
+	}
+	Nodes  []rule.Node
+	Next   unit.Num
+	Shards []rule.Shard
+	Recent []struct {
+		_   struct{} `cbor:",toarray"`
+		ID  accord.ID
+		Res Result
+	}
+	ConfigAt unit.Slot
+	NewsAt   unit.Slot
+	Forgot   unit.Slot
+	Workers  []rule.Worker
+}
+
+// Save gives the state's bytes; equal states give equal bytes.
+func (s *State) Save() ([]byte, error) { return cbor.Marshal(s) }
+
+// Load reads a saved state, also one of the first format. On an error the state
+// is as it was.
+func (s *State) Load(b []byte) error {
+	if len(b) == 0 || b[0]>>5 != 4 { // no list
+		var n State
+		if err := cbor.Unmarshal(b, &n); err != nil {
+			return err
+		}
+		*s = n
+		return nil
+	}
+	var o stateV1
+	if err := cbor.Unmarshal(b, &o); err != nil {
+		return err
+	}
+	n := State{Slot: o.Slot, Release: o.Release, Config: o.Config, Nodes: o.Nodes, Next: o.Next, Shards: o.Shards,
+		ConfigAt: o.ConfigAt, NewsAt: o.NewsAt, Forgot: o.Forgot, Workers: o.Workers}
+	for _, t := range o.Past {
+		n.Past = append(n.Past, taken{Release: t.Release, Sum: t.Sum[:], Packed: true})
+	}
+	for _, r := range o.Recent {
+		if x, _ := n.session(r.ID, 0); x != nil {
+			x.ran(r.ID.Seq, r.Res)
+		}
+	}
+	*s = n
+	return nil
+}
--- a/internal/edict/members.go
+++ b/internal/edict/members.go
@@ -17,13 +17,15 @@
 
 // Members gives the next membership of norm's group, one change from the one in
 // force, or nil: a disk that came back empty votes under its new number; the seat
-// of one that left, or has been silent for long, goes to a process that is level;
-// and the group grows to 2·losses+1, once it is settled. A silent member never
-// lets it settle, so nothing else waits for that.
+// of one that is gone, or has been silent for long, or else was told to end, goes
+// to a process that is level; and the group grows to 2·losses+1, once it is
+// settled. A silent member never lets it settle, so nothing else waits for that:
+// accord.Core.Reseat sees to it that no change leaves too few who hold what is
+// decided.
 func (s *State) Members(seats []accord.Member, losses int, e Ear) (next []accord.Member, why string, who unit.Node) {
 	next = append(next, seats...)
 	zones := map[unit.Zone]int{}
-	vacant := -1
+	vacant, leaves := -1, -1
 	for i, m := range seats {
 		n := s.find(m.Node)
 		if n != nil {
@@ -31,15 +33,23 @@
 		}
 		switch {
 		case n != nil && n.Duty == rule.Norm && n.Num != 0 && n.Num != m.Num:
-			if !n.Gone && e.Heard(n.Num) {
+			if !n.Gone && e.Heard(n.Num) && e.Level(n.Num) {
 				next[i].Num = n.Num
 				return next, "renumbered", m.Node
 			}
+			if n.Gone || !e.Heard(n.Num) {
+				vacant = i
+			}
+		case m.Num == e.Self:
+		case n != nil && n.Gone || e.Silent(m.Num):
 			vacant = i
-		case m.Num != e.Self && (n != nil && n.Gone || e.Silent(m.Num)):
-			vacant = i
+		case n != nil && s.departs(n):
+			leaves = i
 		}
 	}
+	if vacant < 0 {
+		vacant = leaves
+	}
 	if vacant < 0 && (len(seats) > 2*losses || !e.Settled) {
 		return nil, "", ""
 	}
@@ -51,7 +61,7 @@
 	var best *rule.Node
 	for i := range s.Nodes {
 		n := &s.Nodes[i]
-		if n.Duty != rule.Norm || n.Gone || n.Num == 0 || accord.Holds(seats, n.Addr) || !e.Level(n.Num) || !e.Heard(n.Num) {
+		if n.Duty != rule.Norm || n.Gone || n.Num == 0 || s.departs(n) || accord.Holds(seats, n.Addr) || !e.Level(n.Num) || !e.Heard(n.Num) {
 			continue
 		}
 		if best == nil || zones[n.Zone] < zones[best.Zone] {
--- a/internal/edict/plan.go
+++ b/internal/edict/plan.go
@@ -44,7 +44,7 @@
 
 // Plan retires a store in a planned state.
 func (s *State) Plan(name string, losses int) error {
-	switch res, _ := s.retire(name, losses); res {
+	switch res, _ := s.retire(name, losses, 0); res {
 	case Unknown:
 		return fmt.Errorf("--retire %s: no such store", name)
 	case TooFew:
--- /dev/null
+++ b/internal/edict/session.go
@@ -0,0 +1,149 @@
+package edict
+
+import (
+	"crypto/sha256"
+	"slices"
+	"sort"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// session remembers what was run for one origin, a life of a control process,
+// from the lowest number on that it still waits for: a copy of a command is
+// answered alike or, below that, passed over, however late it comes.
+type session struct {
+	_      struct{} `cbor:",toarray"`
+	Origin string
+	Low    uint64
+	Time   unit.Millis // decided time of its last command
+	Ran    []ranRow    // by number
+}
+
+type ranRow struct {
+	_   struct{} `cbor:",toarray"`
+	Seq uint64
+	Res Result
+}
+
+// A session ends long after its last command in decided time, which stands still
+// while nothing can be decided: no copy lives as long. Past the bound on sessions
+// the one that was silent for longest goes.
+const (
+	sessionFor   = unit.Millis(10 * 60 * 1000)
+	mostSessions = 1024
+	mostAsked    = 1024 // commands that one origin waits for
+)
+
+// session gives the row that a command is to be noted in, or nil for a copy, and
+// then the result it had; 0 when that is forgotten because nobody waits for it.
+func (s *State) session(id accord.ID, low uint64) (*session, Result) {
+	i := sort.Search(len(s.Sessions), func(i int) bool { return s.Sessions[i].Origin >= id.Origin })
+	if i == len(s.Sessions) || s.Sessions[i].Origin != id.Origin {
+		s.Sessions = slices.Insert(s.Sessions, i, session{Origin: id.Origin})
+		i = s.endSessions(id.Origin, i)
+	}
+	x := &s.Sessions[i]
+	x.Time = s.Time
+	if low > x.Low {
+		x.Low = low
+		n := sort.Search(len(x.Ran), func(i int) bool { return x.Ran[i].Seq >= low })
+		x.Ran = slices.Clone(x.Ran[n:])
+	}
+	if id.Seq < x.Low {
+		return nil, 0
+	}
+	if n, ok := slices.BinarySearchFunc(x.Ran, id.Seq, rowBy); ok {
+		return nil, x.Ran[n].Res
+	}
+	return x, 0
+}
+
+func rowBy(r ranRow, seq uint64) int {
+	if r.Seq < seq {
+		return -1
+	}
+	return int(min(r.Seq-seq, 1))
+}
+
+func (x *session) ran(seq uint64, res Result) {
+	n, _ := slices.BinarySearchFunc(x.Ran, seq, rowBy)
+	x.Ran = slices.Insert(x.Ran, n, ranRow{Seq: seq, Res: res})
+}
+
+// endSessions drops those that are over, and gives where one to keep stands now.
+func (s *State) endSessions(keep string, at int) int {
+	oldest := -1
+	out := s.Sessions[:0:0]
+	for i, x := range s.Sessions {
+		if x.Origin != keep && s.Time-x.Time > sessionFor {
+			continue
+		}
+		if x.Origin != keep && (oldest < 0 || x.Time < s.Sessions[oldest].Time) {
+			oldest = i
+		}
+		out = append(out, x)
+	}
+	if len(out) > mostSessions && oldest >= 0 {
+		out = slices.DeleteFunc(out, func(x session) bool { return x.Origin == s.Sessions[oldest].Origin })
+	}
+	s.Sessions = out
+	return slices.IndexFunc(out, func(x session) bool { return x.Origin == keep })
+}
+
+// taken is a configuration that was taken.
+type taken struct {
+	_       struct{} `cbor:",toarray"`
+	Release int64
+	Sum     []byte // digest of the bytes as they came
+	Packed  bool   // of a state from before: digest of what was packed then
+}
+
+// keepPast configurations taken are known at the most, three quarters of it at the
+// least: at 19,000 changes a day those of more than a day.
+const keepPast = 32 << 10
+
+// Digest of a configuration's bytes, as they came.
+func Digest(body []byte) []byte {
+	sum := sha256.Sum256(body)
+	return sum[:16]
+}
+
+// put takes a configuration, if it builds on the one in force; one that was taken
+// before is answered as it was then, whatever came after.
+func (s *State) put(c *Command) (Result, bool) {
+	n, known := slices.BinarySearchFunc(s.Past, c.Release, func(t taken, r int64) int {
+		return int(max(min(t.Release-r, 1), -1))
+	})
+	if known && s.Past[n].is(c) {
+		return Done, false
+	}
+	if c.Match != s.Release {
+		return Stale, false
+	}
+	if c.Release <= s.Release {
+		return Low, false
+	}
+	t := taken{Release: c.Release, Sum: c.Sum}
+	if len(c.Sum) == 0 { // of a process from before digests were given
+		t.Sum, t.Packed = packedSum(c.Body), true
+	}
+	s.Release, s.Config, s.ConfigAt = c.Release, c.Body, s.Slot
+	if s.Past = append(s.Past, t); len(s.Past) > keepPast {
+		s.Past = append([]taken(nil), s.Past[keepPast/4:]...)
+	}
+	return Done, true
+}
+
+func packedSum(packed []byte) []byte {
+	sum := sha256.Sum256(packed)
+	return sum[:]
+}
+
+// is tells whether a command brings this very configuration.
+func (t *taken) is(c *Command) bool {
+	if t.Packed {
+		return string(t.Sum) == string(packedSum(c.Body))
+	}
+	return string(t.Sum) == string(c.Sum)
+}
--- a/internal/edict/state.go
+++ b/internal/edict/state.go
@@ -3,7 +3,7 @@
 package edict
 
 import (
-	"crypto/sha256"
+	"slices"
 	"sort"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,10 +29,13 @@
 	Drop                       // a store need not follow a shard any more
 	Register                   // a worker began, or changed what it says of itself
 	Unregister                 // a worker left, or fell silent
+	Reign                      // a leader's term begins: what earlier ones still ask for as duties is refused
+	Depart                     // a control process is told to end: its seat is to go to another
+	Settle                     // each member of the control group's membership holds what was decided before it
 )
 
 func (v Verb) String() string {
-	return [...]string{"none", "put", "enrol", "leave", "found", "read", "retire", "seated", "follow", "promote", "drop", "register", "unregister"}[v]
+	return [...]string{"none", "put", "enrol", "leave", "found", "read", "retire", "seated", "follow", "promote", "drop", "register", "unregister", "reign", "depart", "settle"}[v]
 }
 
 // Command to norm's group.
@@ -52,6 +55,26 @@
 	To    accord.Member `cbor:"11,keyasint,omitempty"`
 
 	Worker *rule.Worker `cbor:"12,keyasint,omitempty"`
+
+	Term   unit.Ballot     `cbor:"13,keyasint,omitempty"` // the fencing token of a leader's duty
+	Low    uint64          `cbor:"14,keyasint,omitempty"` // the origin waits for no answer below this number
+	Sum    []byte          `cbor:"15,keyasint,omitempty"` // digest of a configuration as it came
+	Within unit.Millis     `cbor:"16,keyasint,omitempty"` // so long after an order it may be repeated
+	Seats  []accord.Member `cbor:"17,keyasint,omitempty"`
+}
+
+// duty tells whether a command is the leader's own doing, so that it bears the
+// leader's term and one of an earlier term changes nothing.
+func (c *Command) duty() bool {
+	switch c.Verb {
+	case Found, Follow, Promote, Drop, Reign, Settle:
+		return true
+	case Unregister:
+		return c.Worker != nil && !c.Worker.Left
+	case Leave:
+		return c.Term != 0 // its watchers miss it: the leader's word, not its own
+	}
+	return false
 }
 
 // Result of a command.
@@ -63,100 +86,77 @@
 	Low
 	Unknown // no such machine
 	TooFew  // too few would be left
+	Fenced  // a duty of a leader whose term is over
 )
 
-type taken struct {
-	_       struct{} `cbor:",toarray"`
-	Release int64
-	Sum     [32]byte
-}
-
-type doneRow struct {
-	_   struct{} `cbor:",toarray"`
-	ID  accord.ID
-	Res Result
-}
-
 // State is what norm's group agrees on.
 type State struct {
-	_       struct{} `cbor:",toarray"`
-	Slot    unit.Slot
-	Release int64
-	Config  []byte  // packed
-	Past    []taken // configurations taken, newest last
-	Nodes   []rule.Node
-	Next    unit.Num
-	Shards  []rule.Shard
-	Recent  []doneRow // commands run lately, so a repeat is not run again
-
-	ConfigAt unit.Slot // instances of the last changes
-	NewsAt   unit.Slot
-	Forgot   unit.Slot
-
-	Workers []rule.Worker // by id
+	Slot    unit.Slot    `cbor:"1,keyasint"`
+	Release int64        `cbor:"2,keyasint"`
+	Config  []byte       `cbor:"3,keyasint"` // packed
+	Past    []taken      `cbor:"4,keyasint"` // configurations taken, newest last
+	Nodes   []rule.Node  `cbor:"5,keyasint"`
+	Next    unit.Num     `cbor:"6,keyasint"`
+	Shards  []rule.Shard `cbor:"7,keyasint"`
+
+	ConfigAt unit.Slot `cbor:"8,keyasint"` // instances of the last changes
+	NewsAt   unit.Slot `cbor:"9,keyasint"`
+	Forgot   unit.Slot `cbor:"10,keyasint"`
+
+	Workers []rule.Worker `cbor:"11,keyasint"` // by id
+
+	Time     unit.Millis     `cbor:"12,keyasint"` // decided time
+	Sessions []session       `cbor:"13,keyasint"` // of those who put commands, by origin
+	Term     unit.Ballot     `cbor:"14,keyasint"` // the newest leader's
+	Retired  []retirement    `cbor:"15,keyasint"` // orders to empty a machine, newest last
+	Leaving  []departure     `cbor:"16,keyasint"` // control processes that were told to end
+	Voters   []accord.Member `cbor:"17,keyasint"` // the control group's membership decided last
+	Settled  []accord.Member `cbor:"18,keyasint"` // the last one that settled
 }
 
-const (
-	keepPast   = 256
-	keepRecent = 1024
-)
+// departure is a life that is about to end.
+type departure struct {
+	_    struct{} `cbor:",toarray"`
+	Addr unit.Node
+	Life unit.Life
+}
 
 // Apply runs a decided instance; told gets each command's result, and changed
 // is true when the news changed.
 func (s *State) Apply(d accord.Decided, told func(accord.ID, Result)) (changed bool) {
-	s.Slot = d.Slot
+	s.Slot, s.Time = d.Slot, max(s.Time, d.Value.Stamp)
+	if len(d.Value.Seats) > 0 {
+		s.Voters = d.Value.Seats
+	}
 	for _, r := range accord.Order(d.Value.Reqs) {
-		if res, ok := s.ran(r.ID); ok {
-			told(r.ID, res)
-			continue
-		}
 		var c Command
 		if err := cbor.Unmarshal(r.Data, &c); err != nil {
 			continue
 		}
+		row, res := s.session(r.ID, c.Low)
+		if row == nil { // a copy: it was run, or nobody waits for it any more
+			if res != 0 {
+				told(r.ID, res)
+			}
+			continue
+		}
 		res, news := s.run(&c)
 		if news {
 			changed, s.NewsAt = true, d.Slot
 		}
-		s.Recent = append(s.Recent, doneRow{ID: r.ID, Res: res})
-		if len(s.Recent) > keepRecent {
-			s.Recent = append([]doneRow(nil), s.Recent[keepRecent/2:]...)
-		}
+		row.ran(r.ID.Seq, res)
 		told(r.ID, res)
 	}
 	return changed
 }
 
-func (s *State) ran(id accord.ID) (Result, bool) {
-	for i := len(s.Recent) - 1; i >= 0; i-- {
-		if s.Recent[i].ID == id {
-			return s.Recent[i].Res, true
-		}
-	}
-	return 0, false
-}
-
 func (s *State) run(c *Command) (Result, bool) {
+	if c.duty() && c.Term < s.Term {
+		return Fenced, false
+	}
 	switch c.Verb {
 	case Put:
-		sum := sha256.Sum256(c.Body) // packing is deterministic: equal bodies, equal bytes
-		for _, t := range s.Past {
-			if t.Release == c.Release && t.Sum == sum {
-				return Done, false // exactly this one has been taken
-			}
-		}
-		if c.Match != s.Release {
-			return Stale, false
-		}
-		if c.Release <= s.Release {
-			return Low, false
-		}
-		s.Release, s.Config, s.ConfigAt = c.Release, c.Body, s.Slot
-		s.Past = append(s.Past, taken{Release: c.Release, Sum: sum})
-		if len(s.Past) > keepPast {
-			s.Past = append([]taken(nil), s.Past[keepPast/2:]...)
-		}
-		return Done, true
+		return s.put(c)
 	case Enroll:
 		return Done, s.enroll(c.Node)
 	case Leave:
@@ -165,7 +165,19 @@
 			return Done, false
 		}
 		n.Gone, n.At = true, s.Slot
+		s.stays(n.Addr)
 		return Done, true
+	case Reign:
+		s.Term = c.Term
+		return Done, false
+	case Depart:
+		if n := s.find(c.Node.Addr); n != nil && n.Life == c.Node.Life && !n.Gone && !s.departs(n) {
+			s.Leaving = append(s.Leaving, departure{Addr: n.Addr, Life: n.Life})
+		}
+		return Done, false
+	case Settle:
+		s.Settled = c.Seats
+		return Done, false
 	case Found:
 		if len(s.Shards) > 0 {
 			return Done, false
@@ -176,7 +188,7 @@
 		}
 		return Done, len(s.Shards) > 0
 	case Retire:
-		return s.retire(c.Node.Name, c.Losses)
+		return s.retire(c.Node.Name, c.Losses, c.Within)
 	case Seated:
 		return Done, c.Seated != nil && s.seated(*c.Seated)
 	case Follow, Promote, Drop:
@@ -256,56 +268,6 @@
 	return out
 }
 
-// retire takes a storage machine's duties away: its votes go to others.
-func (s *State) retire(name string, losses int) (Result, bool) {
-	n := s.store(name)
-	if n == nil {
-		return Unknown, false
-	}
-	if n.Empty {
-		return Done, false
-	}
-	left := 0
-	for _, o := range s.Nodes {
-		if o.Duty == rule.Store && !o.Gone && !o.Empty && o.Addr != n.Addr {
-			left++
-		}
-	}
-	if left < 2*losses+1 {
-		return TooFew, false
-	}
-	n.Empty, n.At = true, s.Slot
-	return Done, true
-}
-
-func (s *State) store(name string) *rule.Node {
-	for i := range s.Nodes {
-		if s.Nodes[i].Name == name && s.Nodes[i].Duty == rule.Store {
-			return &s.Nodes[i]
-		}
-	}
-	return nil
-}
-
-// Emptied tells how far a store's retirement is: known, asked for, and done
-// once no shard's membership in force holds it.
-func (s *State) Emptied(name string) (known, asked, done bool) {
-	n := s.store(name)
-	if n == nil {
-		return false, false, false
-	}
-	done = n.Empty
-	for _, sh := range s.Shards {
-		if len(sh.Seats) == 0 {
-			done = false
-		}
-		for _, list := range [][]accord.Member{sh.Voters, sh.Learners, sh.Seats} {
-			done = done && !accord.Holds(list, n.Addr)
-		}
-	}
-	return true, n.Empty, done
-}
-
 func (s *State) find(a unit.Node) *rule.Node {
 	for i := range s.Nodes {
 		if s.Nodes[i].Addr == a {
@@ -331,6 +293,7 @@
 		if old.Life == n.Life && !old.Gone {
 			return false
 		}
+		s.stays(n.Addr) // a new life
 		n.Empty, n.At = old.Empty && n.Disk == old.Disk, s.Slot
 		*old = n
 	} else {
@@ -345,24 +308,55 @@
 	return true
 }
 
-// keepGone is how many processes that are gone stay known; edges come and go
-// under ever new addresses.
+// keepGone is how many processes of a duty that are gone stay known; machines
+// come and go under ever new addresses.
 const keepGone = 128
 
-// forget drops an edge that is gone once too many are known.
+// forget drops the one of each duty that has been gone for longest once too many
+// are known. Who still has a place or a vote is not dropped; and a disk that comes
+// back after it was forgotten gets a number that never voted.
 func (s *State) forget() {
-	gone, first := 0, -1
-	for i, n := range s.Nodes {
-		if n.Gone && n.Duty == rule.Edge {
-			if gone++; first < 0 {
-				first = i
+	for _, duty := range []rule.Duty{rule.Edge, rule.Store, rule.Norm} {
+		gone, first := 0, -1
+		for i, n := range s.Nodes {
+			if n.Gone && n.Duty == duty && !s.needed(&n) {
+				if gone++; first < 0 || n.At < s.Nodes[first].At {
+					first = i
+				}
 			}
 		}
+		if gone > keepGone {
+			s.Forgot = s.Slot
+			s.Nodes = append(s.Nodes[:first:first], s.Nodes[first+1:]...)
+		}
 	}
-	if gone > keepGone {
-		s.Forgot = s.Slot
-		s.Nodes = append(s.Nodes[:first:first], s.Nodes[first+1:]...)
+}
+
+// needed tells whether a process that is gone still has a place or a vote.
+func (s *State) needed(n *rule.Node) bool {
+	switch n.Duty {
+	case rule.Norm:
+		return accord.Holds(s.Voters, n.Addr) || accord.Holds(s.Settled, n.Addr)
+	case rule.Store:
+		for _, sh := range s.Shards {
+			for _, list := range [][]accord.Member{sh.Voters, sh.Learners, sh.Seats} {
+				if accord.Holds(list, n.Addr) {
+					return true
+				}
+			}
+		}
 	}
+	return false
+}
+
+// departs tells whether a control process was told to end.
+func (s *State) departs(n *rule.Node) bool {
+	return slices.ContainsFunc(s.Leaving, func(d departure) bool { return d.Addr == n.Addr && d.Life == n.Life })
+}
+
+// stays ends a departure: that life ended, or a new one began.
+func (s *State) stays(a unit.Node) {
+	s.Leaving = slices.DeleteFunc(slices.Clone(s.Leaving), func(d departure) bool { return d.Addr == a })
 }
 
 // seat renumbers the places of a store whose disk came back empty.
@@ -381,74 +375,6 @@
 	}
 }
 
-// Place chooses the replicas of each shard: 2·losses+1 voters spread over the
-// zones, the first zone in turn taking what is left over, and a follower without
-// a vote in each zone that has none. Inside a zone the store with the fewest
-// seats is next, so shards, leaders and followers spread over all stores.
-func Place(nodes []rule.Node, shards, losses int) []rule.Shard {
-	byZone := map[unit.Zone][]rule.Node{}
-	var zones []unit.Zone
-	all := 0
-	for _, n := range nodes {
-		if n.Duty != rule.Store || n.Gone || n.Empty {
-			continue
-		}
-		if byZone[n.Zone] == nil {
-			zones = append(zones, n.Zone)
-		}
-		byZone[n.Zone] = append(byZone[n.Zone], n)
-		all++
-	}
-	votes := 2*losses + 1
-	if all < votes {
-		return nil
-	}
-	sort.Slice(zones, func(i, j int) bool { return zones[i] < zones[j] })
-	load, leads := map[unit.Node]int{}, map[unit.Node]int{}
-	out := make([]rule.Shard, shards)
-	for i := range out {
-		sh := &out[i]
-		take := func(z unit.Zone, lead bool) (accord.Member, bool) {
-			weigh := func(n rule.Node) int {
-				if lead {
-					return leads[n.Addr]<<16 + load[n.Addr]
-				}
-				return load[n.Addr]
-			}
-			best := -1
-			for k, n := range byZone[z] {
-				if accord.Holds(sh.Voters, n.Addr) {
-					continue
-				}
-				if best < 0 || weigh(n) < weigh(byZone[z][best]) {
-					best = k
-				}
-			}
-			if best < 0 {
-				return accord.Member{}, false
-			}
-			n := byZone[z][best]
-			load[n.Addr]++
-			if lead {
-				leads[n.Addr]++
-			}
-			return accord.Member{Num: n.Num, Node: n.Addr}, true
-		}
-		for j := 0; len(sh.Voters) < votes; j++ {
-			if m, ok := take(zones[(i+j)%len(zones)], j == 0); ok {
-				sh.Voters = append(sh.Voters, m)
-			}
-		}
-		for j := votes; j < len(zones); j++ {
-			if m, ok := take(zones[(i+j)%len(zones)], false); ok {
-				sh.Learners = append(sh.Learners, m)
-			}
-		}
-		sh.Founders = append([]accord.Member(nil), sh.Voters...)
-	}
-	return out
-}
-
 // News is the state as the data plane is told it.
 func (s *State) News() *rule.News {
 	return &rule.News{Seq: s.NewsAt, Forgot: s.Forgot, Release: s.Release, ConfigAt: s.ConfigAt, Config: s.Config, Nodes: s.Nodes, Shards: s.Shards, Workers: s.Workers}
--- /dev/null
+++ b/internal/edict/tend.go
@@ -0,0 +1,165 @@
+package edict
+
+import (
+	"slices"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/unit"
+)
+
+// call is a worker's word that it lives, and nothing else. The worker is answered
+// once the leader has it: an answer from anyone else would keep it from turning to
+// a process that can tell the leader.
+type call struct {
+	no   uint64
+	w    rule.Worker
+	sent unit.Millis
+	end  unit.Millis
+	done func(bool)
+}
+
+// Calls are told to the leader together, and again after a while.
+const (
+	callsEvery = unit.Millis(20)
+	callsAgain = unit.Millis(200)
+	mostCalls  = 4096 // that wait here; more are turned away
+)
+
+// Beat takes a worker's call: when it tells nothing new, the leader is told that
+// it lives, else the group agrees on it. done gets whether it lasts.
+func (c *Control) Beat(now unit.Millis, w rule.Worker, wait unit.Millis, done func(bool)) {
+	c.now = now
+	_, old := c.state.worker(w.ID)
+	if old == nil || w.Seq > old.Seq && !old.Left && !sameWorker(*old, w) {
+		c.register(w, wait, done)
+		return
+	}
+	if len(c.calls) >= mostCalls {
+		done(false)
+		return
+	}
+	c.callNo++
+	x := &call{no: c.callNo, w: w, sent: now + callsEvery - callsAgain, end: now + wait, done: done}
+	c.calls = append(c.calls, x)
+	if c.core.Role() == accord.Leader {
+		x.sent = now - callsAgain
+		c.tendCalls()
+	}
+}
+
+func (c *Control) register(w rule.Worker, wait unit.Millis, done func(bool)) {
+	c.Ask(Command{Verb: Register, Worker: &w}, wait, func(_ Result, ok bool) { done(ok) })
+}
+
+// Left takes a worker's word that it ends.
+func (c *Control) Left(now unit.Millis, id string, wait unit.Millis, done func(bool)) {
+	c.now = now
+	c.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: id, Left: true}}, wait, func(_ Result, ok bool) { done(ok) })
+}
+
+// tendCalls tells the leader of calls that wait, and gives those up whose time is
+// over. It returns when it is next needed; 0: no call waits.
+func (c *Control) tendCalls() (next unit.Millis) {
+	var over []*call
+	c.calls = slices.DeleteFunc(c.calls, func(x *call) bool {
+		if x.end <= c.now {
+			over = append(over, x)
+		}
+		return x.end <= c.now
+	})
+	for _, x := range over {
+		x.done(false)
+	}
+	if len(c.calls) == 0 {
+		return 0
+	}
+	_, lead := c.core.Lead()
+	var b rule.Beats
+	for _, x := range c.calls {
+		if next = min(x.sent+callsAgain, x.end); next <= c.now {
+			x.sent = c.now
+			b.Nos, b.IDs = append(b.Nos, x.no), append(b.IDs, x.w.ID)
+		}
+	}
+	switch {
+	case len(b.Nos) == 0:
+	case lead == c.conf.Self.Addr:
+		if h, ok := c.noted(b); ok {
+			c.hear(h)
+		}
+	case lead != "":
+		c.out.Send(lead, rule.KindBeats, b)
+	}
+	return c.now + callsEvery
+}
+
+// beats takes what another control process heard.
+func (c *Control) beats(l rule.Line, b rule.Beats) {
+	if h, ok := c.noted(b); ok && len(b.Nos) == len(b.IDs) {
+		l.Send(rule.KindHeard, h)
+	}
+}
+
+// noted notes calls; false of whoever is not sure to lead.
+func (c *Control) noted(b rule.Beats) (h rule.Heard, ok bool) {
+	if _, ok = c.term(); !ok {
+		return h, false
+	}
+	for i, id := range b.IDs {
+		if _, w := c.state.worker(id); w == nil || w.Gone && !w.Left {
+			h.Strange = append(h.Strange, b.Nos[i])
+			continue
+		}
+		c.heard[id] = c.now
+		h.Nos = append(h.Nos, b.Nos[i])
+	}
+	return h, true
+}
+
+// hear takes the leader's answer: who called is answered; one that the leader
+// takes for gone, which this replica may not know yet, registers anew.
+func (c *Control) hear(h rule.Heard) {
+	for _, no := range append(slices.Clone(h.Nos), h.Strange...) {
+		i := slices.IndexFunc(c.calls, func(x *call) bool { return x.no == no })
+		if i < 0 {
+			continue
+		}
+		x := c.calls[i]
+		c.calls = slices.Delete(c.calls, i, i+1)
+		if slices.Contains(h.Strange, no) {
+			c.register(x.w, x.end-c.now, x.done)
+		} else {
+			x.done(true)
+		}
+	}
+}
+
+// tend ends the workers that nobody has heard for some beats: a leader's duty,
+// while it is sure to lead.
+func (c *Control) tend() {
+	term, ok := c.term()
+	if !ok {
+		c.ledAt = c.now
+		return
+	}
+	patience := c.conf.Beat * unit.Millis(c.conf.WorkerBeats)
+	living := map[string]bool{}
+	for i := range c.state.Workers {
+		w := &c.state.Workers[i]
+		if w.Gone {
+			continue
+		}
+		living[w.ID] = true
+		if c.now-max(c.heard[w.ID], c.ledAt) > patience {
+			c.out.Log("worker-silent", "worker", w.ID, "service", w.Service)
+			c.heard[w.ID] = c.now // told again if it does not come about
+			c.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: w.ID, Seq: w.Seq}, Term: term}, 1000, func(Result, bool) {})
+		}
+	}
+	for id, at := range c.heard {
+		if !living[id] && c.now-at > patience {
+			delete(c.heard, id)
+		}
+	}
+}
--- a/internal/edict/workers.go
+++ b/internal/edict/workers.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 
-	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/unit"
 )
@@ -87,68 +86,6 @@
 	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining && a.Gone == b.Gone
 }
 
-// Beat takes a worker's call: at once when it tells nothing new, else once the
-// group agreed. done gets whether it lasts.
-func (d *Daemon) Beat(w rule.Worker, wait unit.Millis, done func(bool)) {
-	d.actor.Do(func() {
-		_, old := d.state.worker(w.ID)
-		d.beats[w.ID] = unit.Steady()
-		if old != nil && (w.Seq <= old.Seq || old.Left || sameWorker(*old, w)) {
-			done(true)
-			return
-		}
-		d.Ask(Command{Verb: Register, Worker: &w}, wait, func(_ Result, ok bool) { done(ok) })
-	})
-}
-
-// Left takes a worker's word that it ends.
-func (d *Daemon) Left(id string, wait unit.Millis, done func(bool)) {
-	d.actor.Do(func() {
-		delete(d.beats, id)
-		d.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: id, Left: true}}, wait, func(_ Result, ok bool) { done(ok) })
-	})
-}
-
-// tend looks after the workers: who is heard is told to the leader, who ends
-// those that nobody has heard for some beats.
-func (d *Daemon) tend(now unit.Millis) {
-	core := d.part.Core
-	_, lead := core.Lead()
-	if core.Role() != accord.Leader {
-		d.ledAt = now
-		if lead != "" && len(d.beats) > 0 {
-			var b rule.Beats
-			for id := range d.beats {
-				b.IDs = append(b.IDs, id)
-			}
-			sort.Strings(b.IDs)
-			if d.hub.To(lead).Send(rule.KindBeats, b) {
-				clear(d.beats)
-			}
-		}
-		return
-	}
-	patience := unit.Millis(d.set.BeatMs * d.set.Int("worker_beats", 4))
-	living := map[string]bool{}
-	for i := range d.state.Workers {
-		w := &d.state.Workers[i]
-		if w.Gone {
-			continue
-		}
-		living[w.ID] = true
-		if now-max(d.beats[w.ID], d.ledAt) > patience {
-			unit.Log("worker-silent", "worker", w.ID, "service", w.Service)
-			d.beats[w.ID] = now // told again if it does not come about
-			d.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: w.ID, Seq: w.Seq}}, 1000, func(Result, bool) {})
-		}
-	}
-	for id, at := range d.beats {
-		if !living[id] && now-at > patience {
-			delete(d.beats, id)
-		}
-	}
-}
-
 // shards gives how many shards a fleet is founded with: half as many as it has
 // stores, 2 to 16; of a queue, a multiple of the zones, so that each zone leads
 // as many as the others and its edges can hand in without leaving it.
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -32,6 +32,7 @@
 	KindSeated    lane.Kind = 17
 	KindVacant    lane.Kind = 18
 	KindBeats     lane.Kind = 19
+	KindHeard     lane.Kind = 20
 )
 
 // Duty of a process.
@@ -145,8 +146,15 @@
 	packed map[unit.Slot][]byte
 }
 
+// Line is a way to a peer: a link, or its stand-in.
+type Line interface {
+	Send(lane.Kind, any) bool
+	SendRaw(lane.Kind, []byte) bool
+	Peer() lane.Hello
+}
+
 // Give sends a link what changed after seq, and tells how new its news are then.
-func (s *Sheaf) Give(l *lane.Link, seq unit.Slot) unit.Slot {
+func (s *Sheaf) Give(l Line, seq unit.Slot) unit.Slot {
 	if seq >= s.News.Seq {
 		return seq
 	}
--- a/internal/rule/worker.go
+++ b/internal/rule/worker.go
@@ -18,12 +18,22 @@
 	At       unit.Slot
 }
 
-// Beats tells norm's leader which workers another control process heard lately.
+// Beats tells norm's leader which workers call another control process. Each call
+// has a number there; the worker is answered once the leader has it.
 type Beats struct {
 	_   struct{} `cbor:",toarray"`
+	Nos []uint64
 	IDs []string
 }
 
+// Heard is the leader's answer: which calls it has, and which of them are of
+// workers that it does not know as living.
+type Heard struct {
+	_       struct{} `cbor:",toarray"`
+	Nos     []uint64
+	Strange []uint64
+}
+
 // withWorkers gives the workers after a change: those that are gone are known
 // to the control plane alone.
 func withWorkers(old, changed []Worker) []Worker {
