Whole control groups run in the simulated network, with callers, and are linearizable

Control nodes of 3 and 5 with spare machines on simulated links, disks and clocks; operators, workers and processes that begin a life turn to any node, answers are lost; machines are cut off (whole, one way, with their leader), frozen, slowed, killed one or all, lose power or their disk, are replaced with and without a plan, told to end; at the end all lose power.

--- a/internal/edict/control.go
+++ b/internal/edict/control.go
@@ -46,7 +46,7 @@
 
 	calls  []*call // of workers, that the leader has not heard of yet
 	callNo uint64
-	heard  map[string]unit.Millis // leader: when each worker was heard
+	heard  map[string]word // leader: when each worker was heard
 	tendAt unit.Millis
 	ledAt  unit.Millis // this process does the leader's duties since
 }
@@ -78,7 +78,7 @@
 // NewControl makes a node; Begin gives it its replica before anything else.
 func NewControl(conf Conf, out Shell, seeds, known []unit.Node) *Control {
 	return &Control{conf: conf, out: out, seeds: seeds, known: known, missed: map[life]map[unit.Node]unit.Millis{},
-		shards: map[unit.Group]*shardWord{}, heard: map[string]unit.Millis{}, callNo: uint64(conf.Rand(1 << 40))}
+		shards: map[unit.Group]*shardWord{}, heard: map[string]word{}, callNo: uint64(conf.Rand(1 << 40))}
 }
 
 // Begin takes up the replica that was opened with this node as its machine.
@@ -87,6 +87,9 @@
 	c.reseated()
 }
 
+// At tells the time before commands that were decided are applied.
+func (c *Control) At(now unit.Millis) { c.now = now }
+
 // State is what is agreed, as far as this replica has applied it.
 func (c *Control) State() *State { return &c.state }
 
--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -165,6 +165,7 @@
 }
 
 func (d *Daemon) step() time.Duration {
+	d.ctl.At(unit.Steady())
 	wait := d.ch.Step()
 	now := unit.Steady()
 	next := min(d.ctl.Tick(now), d.kin.Step(now))
@@ -196,7 +197,7 @@
 // ask puts a command to the group; got is called where it was run here.
 func (d *Daemon) ask(cmd Command, wait time.Duration, got func(Result)) {
 	d.call(func(now unit.Millis, done func()) {
-		d.ctl.now = now
+		d.ctl.At(now)
 		d.ctl.Ask(cmd, unit.Millis(wait/time.Millisecond), func(r Result, ok bool) {
 			if ok {
 				got(r)
--- a/internal/edict/tend.go
+++ b/internal/edict/tend.go
@@ -19,6 +19,12 @@
 	done func(bool)
 }
 
+// word is when a worker was last heard, and the instance of its last change then.
+type word struct {
+	at   unit.Millis
+	slot unit.Slot
+}
+
 // Calls are told to the leader together, and again after a while.
 const (
 	callsEvery = unit.Millis(20)
@@ -107,11 +113,12 @@
 		return h, false
 	}
 	for i, id := range b.IDs {
-		if _, w := c.state.worker(id); w == nil || w.Gone && !w.Left {
+		_, w := c.state.worker(id)
+		if w == nil || w.Gone && !w.Left {
 			h.Strange = append(h.Strange, b.Nos[i])
 			continue
 		}
-		c.heard[id] = c.now
+		c.heard[id] = word{c.now, w.At}
 		h.Nos = append(h.Nos, b.Nos[i])
 	}
 	return h, true
@@ -151,14 +158,19 @@
 			continue
 		}
 		living[w.ID] = true
-		if c.now-max(c.heard[w.ID], c.ledAt) > patience {
+		h := c.heard[w.ID]
+		if h.slot != w.At { // what it said was agreed on
+			h = word{c.now, w.At}
+			c.heard[w.ID] = h
+		}
+		if c.now-max(h.at, c.ledAt) > patience {
 			c.out.Log("worker-silent", "worker", w.ID, "service", w.Service)
-			c.heard[w.ID] = c.now // told again if it does not come about
+			c.heard[w.ID] = word{c.now, w.At} // told again if it does not come about
 			c.Ask(Command{Verb: Unregister, Worker: &rule.Worker{ID: w.ID, Seq: w.Seq}, Term: term}, 1000, func(Result, bool) {})
 		}
 	}
-	for id, at := range c.heard {
-		if !living[id] && c.now-at > patience {
+	for id, h := range c.heard {
+		if !living[id] && c.now-h.at > patience {
 			delete(c.heard, id)
 		}
 	}
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -6,9 +6,7 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
-	"math/rand"
 	"sort"
 	"strings"
 
@@ -50,26 +48,6 @@
 // the group can serve through.
 var Storm = []string{"power", "power", "dark", "split", "drain", "wipe"}
 
-type event struct {
-	at  unit.Millis
-	seq int
-	run func()
-}
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	o := *e
-	x := o[len(o)-1]
-	*e = o[:len(o)-1]
-	return x
-}
-
 // disk is what survives: synced writes, and, after power loss, any of the rest.
 type disk struct {
 	head    accord.Record
@@ -77,6 +55,9 @@
 	snap    *snap
 	pending []write
 	busy    bool
+
+	id    uint64      // of a control machine
+	norms []unit.Node // control processes it knew
 }
 
 type write struct {
@@ -84,6 +65,9 @@
 	snap  *snap
 	token uint64
 	came  bool // the snapshot came from another node
+
+	num   unit.Num
+	norms []unit.Node
 }
 
 type snap struct {
@@ -130,11 +114,8 @@
 
 // World is a run.
 type World struct {
+	loop
 	plan    Plan
-	rng     *rand.Rand
-	now     unit.Millis
-	queue   events
-	seq     int
 	nodes   []*node
 	seats   []accord.Member // the founding members
 	want    []accord.Member // the membership wanted
@@ -151,8 +132,6 @@
 	sent    map[key]unit.Topic
 	open    map[key]*call
 	seqs    map[unit.Client]unit.Seq
-	steps   int
-	err     error
 
 	puts   map[accord.ID]put
 	onTop  map[int64]int64
@@ -182,7 +161,7 @@
 
 // New makes a world.
 func New(p Plan) *World {
-	w := &World{plan: p, rng: rand.New(rand.NewSource(p.Seed)), chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{},
+	w := &World{loop: newLoop(p.Seed, p.Log), plan: p, chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{},
 		acked: map[key]unit.Pos{}, refused: map[key]bool{}, sent: map[key]unit.Topic{}, open: map[key]*call{},
 		seqs: map[unit.Client]unit.Seq{}, leadSeen: map[unit.Ballot]bool{}, puts: map[accord.ID]put{}, onTop: map[int64]int64{}}
 	for i := 0; i < p.Voters+p.Learners; i++ {
@@ -200,23 +179,6 @@
 	return w
 }
 
-func (w *World) fail(format string, a ...any) {
-	if w.err == nil {
-		w.err = fmt.Errorf("seed %d, step %d, at %d ms: %s", w.plan.Seed, w.steps, w.now, fmt.Sprintf(format, a...))
-	}
-}
-
-func (w *World) logf(format string, a ...any) {
-	if w.plan.Log != nil {
-		w.plan.Log(fmt.Sprintf("step=%d at=%d ", w.steps, w.now) + fmt.Sprintf(format, a...))
-	}
-}
-
-func (w *World) after(d unit.Millis, f func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + max(d, 0), w.seq, f})
-}
-
 // thawed runs what concerns a node, once it does not stand still.
 func (w *World) thawed(n *node, f func()) {
 	if n.frozen && n.up {
@@ -871,13 +833,7 @@
 	w.after(200, w.reseat)
 	w.after(500, calls)
 	w.after(w.plan.For, func() { w.healed = true })
-	end := w.plan.For + 8000
-	for len(w.queue) > 0 && w.err == nil && w.now < end {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		w.steps++
-		e.run()
-	}
+	w.until(w.plan.For + 8000)
 	if w.err == nil {
 		w.final()
 	}
--- /dev/null
+++ b/internal/maze/strike.go
@@ -0,0 +1,288 @@
+package maze
+
+import (
+	"slices"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// struck tells whether a machine counts as lost now.
+func (f *Fleet) struck(m *machine) bool {
+	return !m.gone && (m.proc == nil || m.frozen || m.stuck || m.slow > 0 || f.isCut(m) || f.now < m.lost)
+}
+
+func (f *Fleet) isCut(m *machine) bool {
+	for pair := range f.cuts {
+		if pair[0] == m.addr || pair[1] == m.addr {
+			return true
+		}
+	}
+	return false
+}
+
+// leader gives the machine that leads, or any.
+func (f *Fleet) leader() *machine {
+	var best *machine
+	for _, m := range f.machines {
+		if m.proc != nil && m.proc.core.Role() == accord.Leader {
+			if b, _ := m.proc.core.Lead(); best == nil || b > first(best.proc.core.Lead()) {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+func first(b unit.Ballot, _ unit.Node) unit.Ballot { return b }
+
+// cut parts some machines from all others, until later; one_way: they are not heard.
+func (f *Fleet) cut(of []*machine, oneWay bool, d unit.Millis) {
+	var pairs [][2]unit.Node
+	for _, a := range of {
+		for _, b := range f.machines {
+			if !slices.Contains(of, b) {
+				pairs = append(pairs, [2]unit.Node{a.addr, b.addr})
+				if !oneWay {
+					pairs = append(pairs, [2]unit.Node{b.addr, a.addr})
+				}
+			}
+		}
+	}
+	for _, p := range pairs {
+		f.cuts[p] = true
+	}
+	f.after(d, func() {
+		for _, p := range pairs {
+			delete(f.cuts, p)
+		}
+		for _, m := range of {
+			m.lost = f.now + catchUp
+		}
+	})
+}
+
+// trouble strikes machines; no more than may be lost are lost at once, but for
+// processes that are all killed, whose disks stay.
+func (f *Fleet) trouble() {
+	kind := f.plan.Troubles[f.rng.Intn(len(f.plan.Troubles))]
+	lost, heirs := 0, 0
+	for _, m := range f.machines {
+		if f.struck(m) {
+			lost++
+		}
+		if m.gone && f.now < m.lost {
+			heirs++ // its successor has not had its time yet
+		}
+	}
+	room := f.plan.Losses - lost - heirs
+	m := f.anyone()
+	if l := f.leader(); l != nil && (kind == "cut-leader" || kind == "freeze-leader" || f.rng.Intn(3) == 0) {
+		m = l
+	}
+	if m.gone || m.proc == nil || f.struck(m) || room < 1 && kind != "herd" {
+		return
+	}
+	long := f.between(300, 9000)
+	f.logf("trouble kind=%s node=%s for=%d", kind, m.addr, long)
+	back := func() { m.lost = f.now + catchUp; f.start(m) }
+	switch kind {
+	case "cut", "cut-leader":
+		f.cut([]*machine{m}, false, long)
+	case "one-way":
+		f.cut([]*machine{m}, true, long)
+	case "pair": // a follower together with its leader
+		if l := f.leader(); room >= 2 && l != nil && l != m {
+			f.cut([]*machine{m, l}, false, long)
+		}
+	case "freeze", "freeze-leader":
+		m.frozen = true
+		f.after(long, func() { m.frozen, m.lost = false, f.now+catchUp })
+	case "slow":
+		m.slow = f.between(20, 150)
+		f.after(long, func() { m.slow, m.lost = 0, f.now+catchUp })
+	case "stall", "full":
+		m.stuck = true
+		f.after(long, func() { m.stuck, m.lost = false, f.now+catchUp })
+	case "crash":
+		f.kill(m)
+		f.after(long/4, back)
+	case "power":
+		f.power(m)
+		f.after(long/4, back)
+	case "wipe":
+		f.power(m)
+		m.disk, m.num = &disk{entries: map[unit.Slot]accord.Entry{}}, 0
+		f.after(long/4, back)
+	case "herd":
+		for _, x := range f.machines {
+			if x.proc != nil {
+				f.kill(x)
+				f.after(f.between(100, 1000), func() { f.start(x) })
+			}
+		}
+	case "replace": // gone for good, an empty one comes at another address
+		f.power(m)
+		m.gone, m.lost = true, f.now+1000+catchUp
+		x := f.machine()
+		f.after(1000, func() { f.start(x); x.lost = f.now + catchUp })
+	case "planned": // the new one comes first
+		x := f.machine()
+		f.start(x)
+		x.lost = f.now + catchUp
+		f.after(f.between(500, 2000), func() { f.told(m, true) })
+	case "restart":
+		f.told(m, false)
+	}
+}
+
+// told ends a process in order, as SIGTERM does.
+func (f *Fleet) told(m *machine, forGood bool) {
+	p := m.proc
+	if p == nil {
+		return
+	}
+	end := func(now unit.Millis) {
+		p.ctl.Leave(now, 400, func() {
+			f.after(0, func() {
+				if m.proc != p {
+					return
+				}
+				f.kill(m)
+				if m.gone = forGood; forGood {
+					m.lost = f.now + catchUp
+					return
+				}
+				f.after(f.between(100, 600), func() { m.lost = f.now + catchUp; f.start(m) })
+			})
+		})
+	}
+	until := f.now + grace
+	var poll func(unit.Millis)
+	poll = func(now unit.Millis) {
+		switch {
+		case p.ctl.Departed(now):
+			if l := f.leader(); l != nil && !accord.Holds(p.core.Seats(), m.addr) && accord.Same(l.proc.core.Seats(), p.core.Seats()) {
+				f.Departed++
+				f.copies(p, p.core.Seats(), "a member that may end")
+			}
+			end(now)
+		case f.now >= until:
+			end(now)
+		default:
+			f.after(30, func() { p.do(poll) })
+		}
+	}
+	p.do(func(now unit.Millis) { p.ctl.Depart(now) })
+	f.after(30, func() { p.do(poll) })
+}
+
+// kill ends a process; its files stay as they were written.
+func (f *Fleet) kill(m *machine) {
+	for _, x := range m.disk.pending {
+		if !m.stuck {
+			f.keep(m, m.disk, x)
+		}
+	}
+	f.stop(m)
+}
+
+// power takes a machine's power: each write not yet synced is there or not.
+func (f *Fleet) power(m *machine) {
+	for _, x := range m.disk.pending {
+		if f.rng.Intn(2) == 0 && !m.stuck {
+			f.keep(m, m.disk, x)
+		}
+	}
+	f.stop(m)
+}
+
+func (f *Fleet) stop(m *machine) {
+	m.proc, m.frozen = nil, false
+	m.disk.pending, m.disk.busy = nil, false
+	for _, x := range f.machines {
+		if p := x.proc; p != nil && f.rng.Intn(2) == 0 {
+			f.after(f.between(1, 5), func() {
+				p.do(func(now unit.Millis) {
+					p.core.Down(now, m.addr)
+					if l := p.lines[m.addr]; l != nil {
+						p.ctl.Down(now, l)
+						delete(p.lines, m.addr)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Run plays the plan out: troubles, then a loss of all power, then calm.
+func (f *Fleet) Run() error {
+	var troubles func()
+	troubles = func() {
+		if f.now < f.plan.For {
+			f.trouble()
+			f.after(f.plan.Every/2+unit.Millis(f.rng.Int63n(int64(f.plan.Every))), troubles)
+		}
+	}
+	f.after(5000, troubles)
+	f.after(f.plan.For, func() {
+		for _, m := range f.machines {
+			if m.proc != nil {
+				f.power(m)
+				f.after(f.between(500, 1500), func() { f.start(m) })
+			}
+			m.slow, m.stuck = 0, false
+		}
+		f.cuts = map[[2]unit.Node]bool{}
+	})
+	f.after(f.plan.For+1600, func() {
+		f.healed = true
+		for _, m := range f.machines {
+			f.start(m)
+		}
+	})
+	f.until(f.plan.For + 16000)
+	if f.err == nil {
+		f.final()
+	}
+	return f.err
+}
+
+// final checks what must hold once all is calm.
+func (f *Fleet) final() {
+	l := f.leader()
+	if l == nil {
+		f.fail("nobody leads")
+		return
+	}
+	live := 0
+	newest := int64(0)
+	for _, a := range f.acked {
+		newest = max(newest, int64(a.slot))
+	}
+	top := l.proc.core.Commit()
+	for _, m := range f.machines {
+		if m.proc == nil {
+			continue
+		}
+		live++
+		if c := m.proc.core.Commit(); c+3 < top {
+			f.fail("node %s stands at %d, the leader at %d", m.addr, c, top)
+		}
+		if r := m.proc.ctl.State().Release; r < newest {
+			f.fail("node %s has configuration %d, %d was acknowledged", m.addr, r, newest)
+		}
+	}
+	if v := len(l.proc.core.Seats()); v < min(live, 2*f.plan.Losses+1) {
+		f.fail("%d voters of %d control processes", v, live)
+	}
+	for _, m := range l.proc.core.Seats() {
+		if x := f.at(m.Node); x.proc == nil || x.num != m.Num {
+			f.fail("%v has a seat, and is not there", m)
+		}
+	}
+	if !l.proc.core.Settled() {
+		f.fail("the membership %v is not settled", l.proc.core.Seats())
+	}
+	f.copies(l.proc, l.proc.core.Seats(), "at the end")
+}
