--- a/internal/accord/contact_test.go
+++ b/internal/accord/contact_test.go
@@ -146,3 +146,30 @@
 		t.Fatal("not proposed")
 	}
 }
+
+// TestLevelIsOnTheDisk: what a replica says it holds is decided and on its disk,
+// also after a snapshot.
+func TestLevelIsOnTheDisk(t *testing.T) {
+	b := replica(2, three, Boot{})
+	bal := unit.MakeBallot(1, 1)
+	asked := func(at unit.Millis, want unit.Slot, when string) {
+		t.Helper()
+		b.Take(at, "a", Msg{Kind: Beat, From: 1, Ballot: bal, Yes: true, At: 7, Commit: 1})
+		n, m := kinds(b.Drain(), Level)
+		if n != 1 || m.Firm != want {
+			t.Errorf("%s: it says it holds %d, want %d (decided %d)", when, m.Firm, want, b.Commit())
+		}
+	}
+	b.Take(1000, "a", Msg{Kind: Accept, From: 1, Ballot: bal, Slot: 1, Commit: 1, Val: encode(Value{})})
+	token := b.Drain().Token
+	if b.Commit() != 1 {
+		t.Fatal("not decided")
+	}
+	asked(1001, 0, "not synced")
+	b.Synced(1002, token)
+	asked(1003, 1, "synced")
+	b.Install(1004, 9, []Era{{Seats: three}}, 0)
+	asked(1005, 1, "a snapshot that is not on the disk yet")
+	b.Firm()
+	asked(1006, 9, "on the disk")
+}
