Answers of workers are bound to their attempt; what may run is not sent again

An answer that named no message was taken as a success or as "not run". A message could go twice over one connection, where a late second answer to its first attempt ("not run") was taken for one to its second. A reset or a cut answer re-opened the message at once, though its worker may go on without the connection. A beginning that was decided long after it was proposed was sent if the message had been booked anew, when to the next leader its time was nearly over. A success whose end could not be decided for 20 s was forgotten. Attempts were counted in 16 bits.

Only a whole answer that names the message once is a word on it. A message goes once over a connection. A connection that rests is looked at before use: closed, or with bytes nobody asked for, it is left. Without a byte written the attempt did not run and goes on over the next connection; without an answer it may run until its time is over, which the end says, and the state refuses a beginning until then unless the service knows its ids. A connection without an answer is reset. An attempt is written within run_late_ms of its booking and of the decided time of its beginning.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -33,6 +34,7 @@
 	slots   int // told of its load: running, waiting, slots
 	running int
 	waiting int
+	left    time.Duration // of Lost: it may run on for so long
 	status  int
 	err     error
 }
@@ -47,52 +49,77 @@
 	addr    string
 	timeout time.Duration // of the route
 	dial    time.Duration
+	by      time.Time // not sent later: whoever leads next may think it is over
 }
 
 // Go sends a delivery on a goroutine of its own.
 func Go(a *Attempt, p *Pool, done func(Result)) { go func() { done(a.run(p)) }() }
 
-// run sends a delivery and reads the answer.
+// run sends a delivery and reads the answer. It did not run as long as not a byte
+// of it was written; from then on only a whole answer that names it says what came
+// of it. A connection that gave no such answer is reset, so that no bytes of the
+// question that are still on their way arrive later.
 func (a *Attempt) run(p *Pool) Result {
 	body, err := pack.Open(a.msg.Packed, a.msg.Body)
 	if err != nil {
 		return Result{outcome: queue.NotRun, kind: answered, err: unit.Err("unpack", a.msg.ID, err)}
 	}
-	l := p.take(time.Now())
-	if l == nil {
-		if l, err = dial(a.addr, min(a.dial, a.timeout), a.timeout); err != nil {
+	var l *line
+	var until time.Time
+	for out := a.bytes(body); ; {
+		if l, err = a.line(p); err != nil {
 			return Result{outcome: queue.NotRun, kind: silent, err: err}
 		}
+		now := time.Now()
+		if now.After(a.by) {
+			l.c.Close()
+			return Result{outcome: queue.NotRun, kind: refused, err: unit.Errf("send", a.addr, "%s too late", now.Sub(a.by))}
+		}
+		// the answer may still be on its way when the worker's time is over
+		until = now.Add(a.timeout + 60*time.Millisecond)
+		l.c.SetDeadline(until)
+		n, err := l.c.Write(out)
+		if err == nil {
+			break
+		}
+		l.cut()
+		switch err = unit.Err("send", a.addr, err); {
+		case n > 0:
+			return a.unknown(l, until, err)
+		case !l.used:
+			return Result{outcome: queue.NotRun, kind: refused, err: err}
+		}
 	}
-	// the answer may still be on its way when the worker's time is over
-	until := time.Now().Add(a.timeout + 60*time.Millisecond)
-	l.c.SetDeadline(until)
-	if _, err := l.c.Write(a.bytes(body)); err != nil {
-		l.c.Close()
-		return a.cut(l, unit.Err("send", a.addr, err))
-	}
-	strange := false
-	for {
+	for strange := false; ; {
 		res, err := http.ReadResponse(l.r, &http.Request{Method: a.msg.Method})
 		if err != nil {
-			l.c.Close()
-			return a.cut(l, unit.Err("read answer", a.addr, err))
+			l.cut()
+			return a.unknown(l, until, unit.Err("read answer", a.addr, err))
 		}
 		if res.StatusCode < 200 {
 			continue
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, mostAnswer+1))
 		res.Body.Close()
-		if err != nil || n > mostAnswer {
-			l.c.Close()
-			return Result{outcome: queue.Lost, kind: silent, status: res.StatusCode, err: unit.Errf("read answer", a.addr, "cut after %d bytes", n)}
-		}
-		if id := res.Header.Get("X-Attempt-Id"); id != "" && id != a.msg.ID {
+		ids := res.Header.Values("X-Attempt-Id")
+		switch {
+		case err != nil || n > mostAnswer:
+			err = unit.Errf("read answer", a.addr, "cut after %d bytes", n)
+		case len(ids) == 0 || len(ids) > 1 && slices.Contains(ids, a.msg.ID):
+			err = unit.Errf("read answer", a.addr, "status %d names %d messages", res.StatusCode, len(ids))
+		case ids[0] != a.msg.ID:
 			strange = true // a second answer to what went before on this connection
 			continue
 		}
+		if err != nil {
+			l.cut()
+			return Result{outcome: queue.Lost, kind: silent, left: time.Until(until), status: res.StatusCode, err: err}
+		}
 		r := a.judge(res)
-		if strange || res.Close || l.r.Buffered() > 0 {
+		if r.outcome != queue.Done && r.outcome != queue.Never {
+			l.open = append(l.open, a.msg.ID)
+		}
+		if strange || res.Close || l.r.Buffered() > 0 || len(l.open) > mostOpen {
 			l.c.Close()
 		} else {
 			p.put(l, keepOf(res.Header.Get("Keep-Alive")))
@@ -101,14 +128,24 @@
 	}
 }
 
+// line gives a connection that is good for this message: one that rests, or a new
+// one.
+func (a *Attempt) line(p *Pool) (*line, error) {
+	if l := p.take(time.Now(), a.msg.ID); l != nil {
+		return l, nil
+	}
+	return dial(a.addr, min(a.dial, a.timeout), a.timeout)
+}
+
 // atOnce is how soon a worker that has no room for a connection resets it.
 const atOnce = 100 * time.Millisecond
 
-// cut is an attempt without an answer. A connection that had rested may have been
-// closed meanwhile, and one more than a worker takes is reset at once: neither
-// says that the worker is ill.
-func (a *Attempt) cut(l *line, err error) Result {
-	r := Result{outcome: queue.Lost, kind: silent, err: err}
+// unknown is an attempt without an answer: it may run until its time is over, also
+// without its connection. A connection that had rested may have been closed
+// meanwhile, and one more than a worker takes is reset at once: neither says that
+// the worker is ill.
+func (a *Attempt) unknown(l *line, until time.Time, err error) Result {
+	r := Result{outcome: queue.Lost, kind: silent, left: time.Until(until), err: err}
 	if reset(err) && (l.used || time.Since(l.since) < atOnce) {
 		r.kind = refused
 	}
@@ -120,7 +157,8 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// judge tells what a whole answer means.
+// judge tells what a whole answer that names the message means. The run it answers
+// is over, whatever it says.
 func (a *Attempt) judge(res *http.Response) (r Result) {
 	r.status = res.StatusCode
 	if part := strings.Split(res.Header.Get("X-Server-Load"), ","); len(part) == 3 {
@@ -129,15 +167,14 @@
 		r.slots, _ = strconv.Atoi(strings.TrimSpace(part[2]))
 	}
 	seal := res.Header.Get("X-Server-Seal")
-	echoed := res.Header.Get("X-Attempt-Id") == a.msg.ID
 	switch {
 	case res.Header.Get("X-Not-Executed") != "" || r.status == http.StatusMisdirectedRequest:
 		r.outcome, r.kind = queue.NotRun, refused
 	case r.status >= 200 && r.status < 300 && seal != "":
 		r.outcome, r.seal = queue.Done, seal
-	case r.status == http.StatusUnprocessableEntity && echoed:
+	case r.status == http.StatusUnprocessableEntity:
 		r.outcome = queue.Never
-	case r.status == http.StatusInternalServerError && echoed:
+	case r.status == http.StatusInternalServerError:
 		r.outcome, r.failed = queue.Failed, true
 	default:
 		r.outcome, r.failed = queue.Lost, true
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,96 +17,232 @@
 	"oxbowdeck/internal/rule"
 )
 
-// worker answers each request of a connection with what script says, given the
-// id; an empty answer closes the connection, "-" gives none.
-func scripted(t *testing.T, script func(n int, id string) string) string {
+// scripted answers each request with what script says, given its number, its
+// connection's and the id; an empty answer closes the connection, "-" gives none.
+func scripted(t *testing.T, script func(n, conn int, id string) string) string {
+	n, conns := 0, 0
+	return served(t, func(c net.Conn) {
+		conns++
+		conn := conns
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			n++
+			a := script(n, conn, req.Header.Get("X-Attempt-Id"))
+			if a == "" {
+				return
+			}
+			if a != "-" {
+				io.WriteString(c, a)
+			}
+		}
+	})
+}
+
+// served is a worker's address: it takes one connection after the other.
+func served(t *testing.T, serve func(net.Conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	n := 0
 	go func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			r := bufio.NewReader(c)
-			for {
-				req, err := http.ReadRequest(r)
-				if err != nil {
-					break
-				}
-				io.Copy(io.Discard, req.Body)
-				n++
-				a := script(n, req.Header.Get("X-Attempt-Id"))
-				if a == "" {
-					break
-				}
-				if a != "-" {
-					io.WriteString(c, a)
-				}
-			}
+			serve(c)
 			c.Close()
 		}
 	}()
 	return ln.Addr().String()
 }
 
+func attempt(id, addr string) *Attempt {
+	return &Attempt{msg: &queue.Message{ID: id, Method: "POST", Host: "h", Path: "/x", Body: []byte("body")}, addr: addr,
+		timeout: 150 * time.Millisecond, dial: time.Second, by: time.Now().Add(time.Second)}
+}
+
 func ok(id, more string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s-%s\r\nX-Server-Load: 2,1,6\r\n%sContent-Length: 2\r\n\r\nok", id, id, more)
 }
 
-// TestAttempts: what each kind of answer is taken for, and that a connection is
-// used again only after a whole answer to what was asked.
+// TestAttempts: what each kind of answer is taken for, whether the run may go on
+// without it, and that a connection is used again only after a whole answer to what
+// was asked.
 func TestAttempts(t *testing.T) {
-	status := func(code int, more string) func(int, string) string {
-		return func(_ int, id string) string {
-			return fmt.Sprintf("HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\n%sContent-Length: 0\r\n\r\n", code, id, more)
-		}
+	plain := func(answer string) func(int, int, string) string {
+		return func(_, _ int, id string) string { return strings.ReplaceAll(answer, "ID", id) }
+	}
+	status := func(code int, more string) func(int, int, string) string {
+		return plain(fmt.Sprintf("HTTP/1.1 %d x\r\nX-Attempt-Id: ID\r\n%sContent-Length: 0\r\n\r\n", code, more))
+	}
+	nameless := func(code int, more string) func(int, int, string) string {
+		return plain(fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", code, more))
 	}
+	const sealed = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\n"
 	for _, c := range []struct {
 		what   string
-		script func(int, string) string
+		script func(n, conn int, id string) string
 		want   queue.Outcome
 		kind   kind
 		idle   int
+		runs   bool // it may run on
 	}{
-		{"done", func(_ int, id string) string { return ok(id, "") }, queue.Done, answered, 1},
-		{"done, and closes", func(_ int, id string) string { return ok(id, "Connection: close\r\n") }, queue.Done, answered, 0},
-		{"a second answer with it", func(_ int, id string) string { return ok(id, "") + ok(id, "") }, queue.Done, answered, 0},
-		{"an answer to something else first", func(_ int, id string) string { return ok("other", "") + ok(id, "") }, queue.Done, answered, 0},
-		{"an answer to something else alone", func(_ int, id string) string { return ok("other", "") }, queue.Lost, silent, 0},
-		{"cut short", func(n int, id string) string { return ok(id, "")[:90] }, queue.Lost, silent, 0},
-		{"no seal", status(200, ""), queue.Lost, answered, 1},
-		{"failed", status(500, ""), queue.Failed, answered, 1},
-		{"never", status(422, ""), queue.Never, answered, 1},
-		{"full", status(503, "X-Not-Executed: 1\r\n"), queue.NotRun, refused, 1},
-		{"503 that promises nothing", status(503, ""), queue.Lost, answered, 1},
-		{"another life", status(421, ""), queue.NotRun, refused, 1},
-		{"closes at once", func(int, string) string { return "" }, queue.Lost, refused, 0},
-		{"closes later", func(int, string) string { time.Sleep(110 * time.Millisecond); return "" }, queue.Lost, silent, 0},
-		{"silence", func(int, string) string { return "-" }, queue.Lost, silent, 0},
-		{"not HTTP", func(int, string) string { return "what?\r\n\r\n" }, queue.Lost, silent, 0},
+		{"done", plain(ok("ID", "")), queue.Done, answered, 1, false},
+		{"done, and closes", plain(ok("ID", "Connection: close\r\n")), queue.Done, answered, 0, false},
+		{"a second answer with it", plain(ok("ID", "") + ok("ID", "")), queue.Done, answered, 0, false},
+		{"an answer to something else first", plain(ok("other", "") + ok("ID", "")), queue.Done, answered, 0, false},
+		{"an answer to something else alone", plain(ok("other", "")), queue.Lost, silent, 0, false},
+		{"cut short", plain(ok("ID", "")[:90]), queue.Lost, silent, 0, false},
+		{"a body cut short", func(n, _ int, id string) string {
+			return strings.ReplaceAll(sealed, "ID", id) + "Connection: close\r\nContent-Length: 9\r\n\r\nhalf"
+		}, queue.Lost, silent, 0, false},
+		{"chunks that break off", plain(sealed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n"), queue.Lost, silent, 0, true},
+		{"done, of no message", nameless(200, "X-Server-Seal: s\r\n"), queue.Lost, silent, 0, true},
+		{"full, of no message", nameless(503, "X-Not-Executed: 1\r\n"), queue.Lost, silent, 0, true},
+		{"another life, of no message", nameless(421, ""), queue.Lost, silent, 0, true},
+		{"never, of no message", nameless(422, ""), queue.Lost, silent, 0, true},
+		{"done, of two messages", nameless(200, "X-Attempt-Id: m1\r\nX-Attempt-Id: m2\r\nX-Server-Seal: s\r\n"), queue.Lost, silent, 0, true},
+		{"no seal", status(200, ""), queue.Lost, answered, 1, false},
+		{"failed", status(500, ""), queue.Failed, answered, 1, false},
+		{"never", status(422, ""), queue.Never, answered, 1, false},
+		{"full", status(503, "X-Not-Executed: 1\r\n"), queue.NotRun, refused, 1, false},
+		{"503 that promises nothing", status(503, ""), queue.Lost, answered, 1, false},
+		{"another life", status(421, ""), queue.NotRun, refused, 1, false},
+		{"closes at once", plain(""), queue.Lost, refused, 0, true},
+		{"closes later", func(int, int, string) string { time.Sleep(110 * time.Millisecond); return "" }, queue.Lost, silent, 0, true},
+		{"silence", plain("-"), queue.Lost, silent, 0, false},
+		{"not HTTP", plain("what?\r\n\r\n"), queue.Lost, silent, 0, true},
 	} {
-		addr := scripted(t, c.script)
-		a := &Attempt{msg: &queue.Message{ID: "m1", Method: "POST", Host: "h", Path: "/x", Body: []byte("body")}, addr: addr, timeout: 150 * time.Millisecond, dial: time.Second}
 		var p Pool
-		r := a.run(&p)
-		if r.outcome != c.want || r.kind != c.kind || len(p.idle) != c.idle {
-			t.Errorf("%s: %s, kind %d, %d idle (%v); want %s, %d, %d", c.what, r.outcome, r.kind, len(p.idle), r.err, c.want, c.kind, c.idle)
+		r := attempt("m1", scripted(t, c.script)).run(&p)
+		if r.outcome != c.want || r.kind != c.kind || len(p.idle) != c.idle || r.left > 40*time.Millisecond != c.runs {
+			t.Errorf("%s: %s, kind %d, %d idle, runs on for %s (%v); want %s, %d, %d, %v", c.what, r.outcome, r.kind, len(p.idle), r.left, r.err, c.want, c.kind, c.idle, c.runs)
 		}
 		if c.want == queue.Done && r.seal != "s-m1" {
 			t.Errorf("%s: seal %q", c.what, r.seal)
 		}
 		p.drop()
 	}
-	// nobody there: it certainly did not run
-	a := &Attempt{msg: &queue.Message{ID: "m1", Method: "POST"}, addr: "127.0.0.1:1", timeout: time.Second, dial: time.Second}
-	if r := a.run(&Pool{}); r.outcome != queue.NotRun || r.kind != silent {
+}
+
+// once stands for a connection whose next write takes n bytes and fails.
+type once struct {
+	*net.TCPConn
+	n int
+}
+
+func (c once) Write(b []byte) (int, error) { return c.n, syscall.ECONNRESET }
+
+// TestWritten: an attempt did not run as long as not a byte of it was written, and
+// goes on over the next connection; from then on it may have run.
+func TestWritten(t *testing.T) {
+	if r := attempt("m1", "127.0.0.1:1").run(&Pool{}); r.outcome != queue.NotRun || r.kind != silent {
 		t.Errorf("refused connection: %s", r.outcome)
 	}
+	asked := 0
+	addr := scripted(t, func(n, _ int, id string) string { asked = n; return ok(id, "") })
+	late := attempt("m1", addr)
+	late.by = time.Now().Add(-time.Millisecond)
+	if r := late.run(&Pool{}); r.outcome != queue.NotRun || asked != 0 {
+		t.Errorf("past its time: %s, asked %d times", r.outcome, asked)
+	}
+	for n, want := range []queue.Outcome{queue.Done, queue.Lost} {
+		rest, err := dial(addr, time.Second, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rest.c = once{rest.c.(*net.TCPConn), n}
+		var p Pool
+		p.put(rest, time.Second)
+		r := attempt("m1", addr).run(&p)
+		if r.outcome != want || (r.left > 0) != (n > 0) {
+			t.Errorf("reset after %d bytes: %s, runs on for %s; want %s", n, r.outcome, r.left, want)
+		}
+		p.drop()
+	}
+}
+
+// TestBound: a message goes only once over a connection, so that a second answer to
+// its first attempt is not taken for one to its second; others go on using it.
+func TestBound(t *testing.T) {
+	conns := 0
+	addr := scripted(t, func(n, conn int, id string) string {
+		conns = max(conns, conn)
+		switch {
+		case conn == 1 && n == 1:
+			return fmt.Sprintf("HTTP/1.1 500 x\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		case conn == 1 && id == "m1": // the late one
+			return fmt.Sprintf("HTTP/1.1 503 x\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id) + ok(id, "")
+		}
+		return ok(id, "")
+	})
+	var p Pool
+	defer p.drop()
+	if r := attempt("m1", addr).run(&p); r.outcome != queue.Failed || len(p.idle) != 1 {
+		t.Fatalf("first: %s", r.outcome)
+	}
+	if r := attempt("m2", addr).run(&p); r.outcome != queue.Done || conns != 1 {
+		t.Fatalf("another message: %s over connection %d", r.outcome, conns)
+	}
+	if r := attempt("m1", addr).run(&p); r.outcome != queue.Done || conns != 2 {
+		t.Fatalf("the same message again: %s over connection %d", r.outcome, conns)
+	}
+	p.idle[0].open = make([]string, mostOpen+1)
+	if r := attempt("m3", addr).run(&p); r.outcome != queue.Done || len(p.idle) != 0 {
+		t.Fatalf("a connection that carried %d messages that failed is kept", mostOpen+1)
+	}
+}
+
+// TestSilent: a connection that was closed while it rested, or over which something
+// came that nobody asked for, is not used; the attempt goes over a new one.
+func TestSilent(t *testing.T) {
+	for _, after := range []string{"", ok("m2", ""), "x"} {
+		conns, rested := 0, make(chan bool)
+		addr := served(t, func(c net.Conn) {
+			conns++
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(c, ok(req.Header.Get("X-Attempt-Id"), ""))
+			if conns == 1 {
+				<-rested
+				io.WriteString(c, after)
+			}
+		})
+		var p Pool
+		if r := attempt("m1", addr).run(&p); r.outcome != queue.Done || len(p.idle) != 1 {
+			t.Fatal(r.outcome)
+		}
+		rested <- true
+		time.Sleep(20 * time.Millisecond)
+		if r := attempt("m2", addr).run(&p); r.outcome != queue.Done || r.seal != "s-m2" || conns != 2 {
+			t.Errorf("after %q: %s, %d connections (%v)", after, r.outcome, conns, r.err)
+		}
+		p.drop()
+	}
+}
+
+// TestReset: a connection that gave no answer is reset, so that what a link still
+// holds of the question is lost with it.
+func TestReset(t *testing.T) {
+	end := make(chan error, 1)
+	addr := served(t, func(c net.Conn) {
+		_, err := io.Copy(io.Discard, c)
+		end <- err
+	})
+	attempt("m1", addr).run(&Pool{})
+	if err := <-end; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the worker saw %v", err)
+	}
 }
 
 // TestKeep: a connection rests no longer than its worker says it keeps one.
@@ -114,10 +252,9 @@
 			t.Errorf("%q: %s, want %s", header, got, want)
 		}
 	}
-	addr := scripted(t, func(_ int, id string) string { return ok(id, "Keep-Alive: timeout=0\r\n") })
+	addr := scripted(t, func(_, _ int, id string) string { return ok(id, "Keep-Alive: timeout=0\r\n") })
 	var p Pool
-	a := &Attempt{msg: &queue.Message{ID: "m1", Method: "POST"}, addr: addr, timeout: time.Second, dial: time.Second}
-	if a.run(&p); p.take(time.Now()) != nil {
+	if attempt("m1", addr).run(&p); p.take(time.Now(), "m2") != nil {
 		t.Error("a connection that is not kept was used again")
 	}
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"time"
 
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/lane"
@@ -44,7 +45,7 @@
 type booking struct {
 	w       *worker
 	at      unit.Millis
-	try     uint16 // the one before
+	try     uint32 // the one before
 	timeout unit.Millis
 	limit   uint16
 	running bool
@@ -148,7 +149,11 @@
 		return
 	}
 	_, leads := s.host.Group(s.group).Lead()
-	if b == nil || !leads || now-b.at > s.host.B.Late {
+	late := s.host.B.Late
+	if b != nil { // the decision's own age counts: it may be of an earlier booking
+		late -= max(now-b.at, s.host.Group(s.group).Time(now)-s.state.Clock())
+	}
+	if b == nil || !leads || late < 0 {
 		if b != nil {
 			s.release(pos)
 		}
@@ -157,7 +162,8 @@
 	}
 	b.running = true
 	msg := e.Row.Msg
-	a := &Attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial}
+	a := &Attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial,
+		by: time.Now().Add(late.Span())}
 	if !b.w.fixed {
 		a.worker = b.w.ID
 	}
@@ -168,7 +174,7 @@
 }
 
 // ran takes what came of an attempt.
-func (s *Shard) ran(pos unit.Pos, try uint16, b *booking, r Result) {
+func (s *Shard) ran(pos unit.Pos, try uint32, b *booking, r Result) {
 	now := s.host.Now()
 	b.over = true
 	b.w.under--
@@ -197,7 +203,7 @@
 		}
 		p.till = now + wait/2 + unit.Millis(s.host.Rand.Int64N(int64(wait)))
 	}
-	s.say(now, queue.Mark{Pos: pos, Try: try, Outcome: r.outcome, Seal: r.seal, Limit: b.limit})
+	s.say(now, queue.Mark{Pos: pos, Try: try, Outcome: r.outcome, Seal: r.seal, Limit: b.limit, For: unit.Millis(max(0, r.left).Milliseconds())})
 }
 
 // say has what became of an attempt decided: told again until it is.
@@ -425,7 +431,9 @@
 		if x.spoken && now-x.at < sayAgain {
 			continue
 		}
-		if now-x.since > sayFor {
+		// one that was done or never can be must not be sent again from here; no others
+		// begin while these can't be decided, so they stay few
+		if now-x.since > sayFor && x.mark.Outcome != queue.Done && x.mark.Outcome != queue.Never {
 			delete(s.said, pos)
 			delete(s.booked, pos)
 			continue
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -22,9 +22,10 @@
 )
 
 // A simulated run: three processes with real hosts over one decided order, which
-// loses or delays what a leader that falls had put to it, and stand-in workers
-// that fail, fall silent and lose answers. After each step the rules are checked
-// from what the workers saw.
+// loses or delays what a leader that falls had put to it, frames between them that
+// are lost with their connection or come much later, and stand-in workers that fail,
+// fall silent, lose answers, and go on after their connection was reset. After each
+// step the rules are checked from what the workers saw.
 
 const simConfig = `{"config_release":1,"routing_entries":[
 {"label":"a","host_id":"","path_prefix":"/plain","route_class":"deferred","guard_timer_ms":800,"service_ref":"list","max_attempts":4,"hold_s":600},
@@ -83,6 +84,8 @@
 	calm   bool
 	faults []string
 	spoil  string // which safeguard is taken away
+	stamp  unit.Millis
+	held   func(accord.Request) bool // takes a request out of the order, for a while
 	news   *rule.News
 }
 
@@ -125,15 +128,24 @@
 	if cbor.Unmarshal(r.Data, &c) == nil && c.Verb == queue.End && s.spoil == "twice" {
 		return
 	}
-	s.in(unit.Millis(5+s.rng.Intn(25)), func() {
+	if s.held != nil && s.held(r) {
+		return
+	}
+	wait, stamp := 5+s.rng.Intn(25), s.now-s.offset
+	if !s.calm && s.rng.Intn(60) == 0 {
+		wait += s.rng.Intn(2500)
+	}
+	s.in(unit.Millis(wait), func() {
 		if s.leader == from || s.rng.Intn(3) == 0 {
-			s.decide(r)
+			s.decide(stamp, r)
 		}
 	})
 }
 
-func (s *sim) decide(r accord.Request) {
-	s.log = append(s.log, accord.Decided{Slot: unit.Slot(len(s.log) + 1), Value: accord.Value{Stamp: s.now - s.offset, Reqs: []accord.Request{r}}})
+// decide appends to the order, under the time at which it was proposed.
+func (s *sim) decide(stamp unit.Millis, r accord.Request) {
+	s.stamp = max(s.stamp, stamp)
+	s.log = append(s.log, accord.Decided{Slot: unit.Slot(len(s.log) + 1), Value: accord.Value{Stamp: s.stamp, Reqs: []accord.Request{r}}})
 }
 
 func (n *simNode) begin() {
@@ -149,7 +161,15 @@
 			if !ok {
 				return
 			}
-			n.in(unit.Millis(1+n.rng.Intn(4)), func() {
+			wait := 1 + n.rng.Intn(4)
+			switch {
+			case n.calm:
+			case n.rng.Intn(10) == 0:
+				return
+			case n.rng.Intn(10) == 0:
+				wait += n.rng.Intn(2000)
+			}
+			n.in(unit.Millis(wait), func() {
 				if to := n.nodes[int(to[1]-'0')]; to.up && to.leads {
 					for _, r := range p.Reqs {
 						to.put(to.i, r)
@@ -160,7 +180,11 @@
 		Group: func(unit.Group) Group { return simGroup{n} },
 		Full:  func() bool { return false },
 		Run: func(a *Attempt, _ *Pool, done func(Result)) {
-			n.in(unit.Millis(1+n.rng.Intn(3)), func() { n.work(n, life, a, done) })
+			wait := 1 + n.rng.Intn(3)
+			if n.rng.Intn(20) == 0 {
+				wait += n.rng.Intn(300) // a connection that is made slowly
+			}
+			n.in(unit.Millis(wait), func() { n.work(n, life, a, done) })
 		},
 		B: Bounds{Mark: 5, Late: 400, Dial: time.Second, Shut: 300, Report: 1 << 40}})
 	n.host.News(n.news, n.now)
@@ -204,7 +228,20 @@
 	m.runs = s.now + work + 2
 	switch {
 	case dice < 8: // hangs
+		m.runs = s.now + limit
 		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
+	case dice >= 94 && dice < 100: // its connection is reset, and it may go on without
+		work = unit.Millis(s.rng.Intn(int(limit)))
+		m.runs = s.now + work
+		if s.rng.Intn(2) == 0 {
+			s.in(work, func() { s.success(m) })
+		}
+		after := unit.Millis(s.rng.Intn(int(work) + 1))
+		left := (limit + 60 - after).Span()
+		if s.spoil == "again" {
+			left = 0
+		}
+		tell(after, Result{outcome: queue.Lost, kind: refused, left: left})
 	case dice < 12: // does it, and the answer is lost
 		s.in(work, func() { s.success(m) })
 		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
@@ -246,6 +283,9 @@
 	if r := m.readBy; r != nil && r.up && r.life == m.readLife {
 		s.fault("TWICE %s runs again after a success that %s read", m.ID, r.host.Self.Addr)
 	}
+	if m.Path != "/pair" && s.now < m.runs {
+		s.fault("AGAIN %s begins while it may run for %d ms more", m.ID, m.runs-s.now)
+	}
 	if m.Key != "" {
 		for _, o := range s.order {
 			if o != m && o.Key == m.Key && o.told > 0 && o.told < m.sent && o.over == 0 {
@@ -377,7 +417,8 @@
 	n.leads = true
 }
 
-func play(t *testing.T, seed int64, spoil string) []string {
+// found makes the processes, the first of them leading.
+func found(t *testing.T, seed int64, spoil string) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewSource(seed)), leader: -1, msgs: map[string]*simMsg{}, spoil: spoil, now: 1000}
 	rate := float64(simRate)
 	if spoil == "ceiling" {
@@ -394,6 +435,11 @@
 		n.begin()
 	}
 	s.elect()
+	return s
+}
+
+func play(t *testing.T, seed int64, spoil string) []string {
+	s := found(t, seed, spoil)
 	for s.now < 12000 {
 		if s.rng.Intn(12) == 0 {
 			s.send()
@@ -481,7 +527,7 @@
 
 // TestSimSeesFaults: each check fails when its safeguard is taken away.
 func TestSimSeesFaults(t *testing.T) {
-	for spoil, want := range map[string]string{"early": "EARLY", "order": "ORDER", "ceiling": "CEILING", "twice": "TWICE"} {
+	for spoil, want := range map[string]string{"early": "EARLY", "order": "ORDER", "ceiling": "CEILING", "twice": "TWICE", "again": "AGAIN"} {
 		found := false
 		for seed := int64(1); seed <= 6 && !found; seed++ {
 			for _, f := range play(t, seed, spoil) {
@@ -493,3 +539,51 @@
 		}
 	}
 }
+
+// TestStaleBeginning: a beginning that was decided long after it was proposed is not
+// sent, though its message has been booked anew meanwhile: to whoever leads next its
+// attempt is over soon. Neither is one that its process asked for in an earlier life.
+func TestStaleBeginning(t *testing.T) {
+	s := found(t, 1, "")
+	s.calm = true
+	n := s.nodes[s.leader]
+	var begins []accord.Request
+	s.held = func(r accord.Request) bool {
+		var c queue.Command
+		if cbor.Unmarshal(r.Data, &c) == nil && c.Verb == queue.Begin {
+			begins = append(begins, r)
+			return true
+		}
+		return false
+	}
+	b, _ := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: &queue.Message{ID: "m0", Method: "POST", Path: "/plain", Hold: 600000, Release: 1}})
+	s.msgs["m0"] = &simMsg{Message: queue.Message{ID: "m0", Path: "/plain"}, seals: map[string]bool{}}
+	s.put(n.i, accord.Request{ID: accord.ID{Origin: "m0"}, Data: b})
+	at := func() unit.Millis { return s.now - s.offset }
+	for len(begins) == 0 {
+		s.step()
+	}
+	asked := at()
+	for len(begins) < 2 { // given up, and booked anew
+		s.step()
+	}
+	s.decide(asked, begins[0])
+	for until := s.now + 100; s.now < until; {
+		s.step()
+	}
+	if r := n.shard.state.Find("m0"); r.Tries != 1 || r.Runs || s.msgs["m0"].runs > 0 {
+		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, s.msgs["m0"].runs)
+	}
+	for len(begins) < 3 {
+		s.step()
+	}
+	n.begin()
+	n.leads = true
+	s.decide(at(), begins[2])
+	for until := s.now + 100; s.now < until; {
+		s.step()
+	}
+	if r := n.shard.state.Find("m0"); r.Tries != 2 || !r.Runs || s.msgs["m0"].runs > 0 {
+		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, s.msgs["m0"].runs)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -3,9 +3,11 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"bufio"
@@ -116,27 +118,71 @@
 	since time.Time
 	till  time.Time // the worker keeps it for so long
 	used  bool
+	open  []string // messages that were sent on it and have not ended
 }
 
+// mostOpen bounds open: a connection that carried more is not kept.
+const mostOpen = 32
+
 // keepIdle is how long a connection rests when its worker does not say how long
 // it keeps one; of what it says, less is used: the worker must not be faster.
 const keepIdle = 2 * time.Second
 
-// take gives a connection that rests, or nil.
-func (p *Pool) take(now time.Time) *line {
+// take gives a connection that rests, or nil. A message goes only once over a
+// connection: a second answer to the first time would be taken for one to the
+// second. (One that was done, or never can be, is not sent again from here.)
+func (p *Pool) take(now time.Time, id string) *line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		l := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		if now.Before(l.till) && l.r.Buffered() == 0 {
+	spent := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		l := p.idle[i]
+		if slices.Contains(l.open, id) {
+			spent = i
+			continue
+		}
+		spent--
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if now.Before(l.till) && l.silent() {
 			return l
 		}
 		l.c.Close()
 	}
+	if spent >= 0 { // its place is for the one that is opened now
+		p.idle[spent].c.Close()
+		p.idle = slices.Delete(p.idle, spent, spent+1)
+	}
 	return nil
 }
 
+// silent tells whether a connection that rests stands, and nothing came over it
+// that nobody asked for.
+func (l *line) silent() bool {
+	if l.r.Buffered() > 0 {
+		return false
+	}
+	l.c.SetDeadline(time.Time{})
+	raw, err := l.c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
+
+// cut resets a connection: what is still on its way over it is dropped.
+func (l *line) cut() {
+	if t, ok := l.c.(interface{ SetLinger(int) error }); ok {
+		t.SetLinger(0)
+	}
+	l.c.Close()
+}
+
 func (p *Pool) put(l *line, keep time.Duration) {
 	l.till, l.used = time.Now().Add(keep), true
 	p.mu.Lock()
--- a/internal/lore/lore.go
+++ b/internal/lore/lore.go
@@ -65,7 +65,7 @@
 	Verdict tale.Verdict `json:"verdict,omitempty"`
 	Edge    unit.Node    `json:"edge,omitempty"`
 	Message string       `json:"message,omitempty"` // of a queue
-	Try     uint16       `json:"try,omitempty"`
+	Try     uint32       `json:"try,omitempty"`
 	Outcome string       `json:"outcome,omitempty"`
 }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -50,7 +50,7 @@
 	Never           // a worker answered that it can't be done
 	Failed          // a worker answered that this attempt failed
 	NotRun          // it certainly did not run
-	Lost            // nothing is known: it may have run
+	Lost            // nothing is known: it may have run, and may yet
 	Dropped         // the configuration has no route for it any more
 	Expired         // it was held for as long as its route says
 	Spent           // every attempt its route allows has failed
@@ -64,11 +64,11 @@
 type Mark struct {
 	_       struct{} `cbor:",toarray"`
 	Pos     unit.Pos // the message: its place in the order
-	Try     uint16   // counted from 1; of Begin: the one before
+	Try     uint32   // counted from 1; of Begin: the one before
 	Outcome Outcome
 	Seal    string      // of a success
 	Limit   uint16      // of Failed: after so many the message is spent
-	For     unit.Millis // of Begin: it may run for so long
+	For     unit.Millis // of Begin and Lost: it may run for so long
 	Safe    bool        // of Begin: the service runs no message a second time
 }
 
@@ -90,7 +90,7 @@
 	At     unit.Millis // accepted
 	Due    unit.Millis // not to run before
 	Until  unit.Millis // ends at the latest
-	Tries  uint16      // attempts begun
+	Tries  uint32      // attempts begun
 	Fails  uint16      // attempts answered with failure
 	Runs   bool        // an attempt is under way
 	RunEnd unit.Millis // and is over by then, whoever sent it
@@ -283,7 +283,13 @@
 		if r.Fails++; r.Fails >= m.Limit {
 			s.finish(r, Spent)
 		}
-	case NotRun, Lost:
+	case Lost: // who sent it knows better when it is over
+		if m.For > 0 {
+			r.RunEnd = min(r.RunEnd, s.clock+m.For)
+		} else {
+			r.Runs = false
+		}
+	case NotRun:
 		r.Runs = false
 	default:
 		return false
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -32,16 +32,22 @@
 	return x.Find(m.ID)
 }
 
-func (x *table) begin(at unit.Millis, r *Row, try uint16) bool {
+func (x *table) begin(at unit.Millis, r *Row, try uint32) bool {
 	x.do(at, Command{Verb: Begin, Marks: []Mark{{Pos: r.Pos, Try: try, For: 1000}}})
 	return x.ok
 }
 
-func (x *table) end(at unit.Millis, r *Row, try uint16, o Outcome) bool {
+func (x *table) end(at unit.Millis, r *Row, try uint32, o Outcome) bool {
 	x.do(at, Command{Verb: End, Marks: []Mark{{Pos: r.Pos, Try: try, Outcome: o, Seal: "s", Limit: 2}}})
 	return x.ok
 }
 
+// lost ends an attempt of which nothing is known, and which may run on.
+func (x *table) lost(at unit.Millis, r *Row, try uint32, left unit.Millis) bool {
+	x.do(at, Command{Verb: End, Marks: []Mark{{Pos: r.Pos, Try: try, Outcome: Lost, For: left}}})
+	return x.ok
+}
+
 // TestLives: how messages begin and end, one case after the other.
 func TestLives(t *testing.T) {
 	x := &table{State: New(Bounds{Report: 5000, Sweep: 500})}
@@ -89,6 +95,20 @@
 	x.accept(9000, Message{ID: "g", Hold: 90000})
 	want("and forgotten", x.Find("a") == nil && x.Find("b") == nil && x.Find("e") != nil, true)
 
+	l := x.accept(9100, Message{ID: "l", Hold: 90000})
+	x.begin(9100, l, 0)
+	want("may run on without its connection", x.lost(9200, l, 1, 300), true)
+	want("begins while it may", x.begin(9499, l, 1), false)
+	want("told again, later", x.lost(9400, l, 1, 300), true)
+	want("begins when its time is over", x.begin(9500, l, 1), true)
+	want("told late of the one before", x.lost(9510, l, 1, 0), false)
+	want("not run, of the one before", x.end(9520, l, 1, NotRun), false)
+	want("so the one under way still is", x.begin(9530, l, 2), false)
+	want("lost, and over", x.lost(9540, l, 2, 0), true)
+	want("begins at once", x.begin(9550, l, 2), true)
+	want("longer than it was begun for", x.lost(9560, l, 3, 9000), true)
+	want("counts no more", x.begin(9550+1000+Slack, l, 3), true)
+
 	saved, err := x.Save()
 	if err != nil {
 		t.Fatal(err)
