--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -540,50 +540,72 @@
 	}
 }
 
-// TestStaleBeginning: a beginning that was decided long after it was proposed is not
-// sent, though its message has been booked anew meanwhile: to whoever leads next its
-// attempt is over soon. Neither is one that its process asked for in an earlier life.
-func TestStaleBeginning(t *testing.T) {
-	s := found(t, 1, "")
-	s.calm = true
-	n := s.nodes[s.leader]
-	var begins []accord.Request
+// alone is one message of a calm run, with the commands of one kind kept from being
+// decided.
+func alone(t *testing.T, verb queue.Verb) (s *sim, n *simNode, m *simMsg, kept *[]accord.Request) {
+	s, kept = found(t, 1, ""), &[]accord.Request{}
+	s.calm, n = true, s.nodes[s.leader]
 	s.held = func(r accord.Request) bool {
 		var c queue.Command
-		if cbor.Unmarshal(r.Data, &c) == nil && c.Verb == queue.Begin {
-			begins = append(begins, r)
-			return true
+		held := cbor.Unmarshal(r.Data, &c) == nil && c.Verb == verb
+		if held {
+			*kept = append(*kept, r)
 		}
-		return false
-	}
-	b, _ := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: &queue.Message{ID: "m0", Method: "POST", Path: "/plain", Hold: 600000, Release: 1}})
-	s.msgs["m0"] = &simMsg{Message: queue.Message{ID: "m0", Path: "/plain"}, seals: map[string]bool{}}
-	s.put(n.i, accord.Request{ID: accord.ID{Origin: "m0"}, Data: b})
-	at := func() unit.Millis { return s.now - s.offset }
-	for len(begins) == 0 {
-		s.step()
-	}
-	asked := at()
-	for len(begins) < 2 { // given up, and booked anew
-		s.step()
-	}
-	s.decide(asked, begins[0])
-	for until := s.now + 100; s.now < until; {
-		s.step()
-	}
-	if r := n.shard.state.Find("m0"); r.Tries != 1 || r.Runs || s.msgs["m0"].runs > 0 {
-		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, s.msgs["m0"].runs)
+		return held
 	}
-	for len(begins) < 3 {
+	m = &simMsg{Message: queue.Message{ID: "m0", Method: "POST", Path: "/plain", Hold: 600000, Release: 1}, seals: map[string]bool{}}
+	s.msgs[m.ID], s.order = m, []*simMsg{m}
+	b, _ := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: &m.Message})
+	s.put(n.i, accord.Request{ID: accord.ID{Origin: m.ID}, Data: b})
+	return s, n, m, kept
+}
+
+// pass lets time pass until something is so, at the latest until that long from now.
+func (s *sim) pass(d unit.Millis, until func() bool) {
+	for end := s.now + d; s.now < end && !until(); {
 		s.step()
 	}
+}
+
+func never() bool { return false }
+
+// TestStaleBeginning: a beginning that was decided long after it was proposed is not
+// sent, though its message has been booked anew meanwhile: to whoever leads next its
+// attempt is over soon. Neither is one that its process asked for in an earlier life.
+func TestStaleBeginning(t *testing.T) {
+	s, n, m, begins := alone(t, queue.Begin)
+	kept := func(n int) func() bool { return func() bool { return len(*begins) >= n } }
+	s.pass(1000, kept(1))
+	asked := s.now - s.offset
+	s.pass(9000, kept(2)) // given up, and booked anew
+	s.decide(asked, (*begins)[0])
+	s.pass(100, never)
+	if r := n.shard.state.Find("m0"); r.Tries != 1 || r.Runs || m.runs > 0 {
+		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, m.runs)
+	}
+	s.pass(9000, kept(3))
 	n.begin()
 	n.leads = true
-	s.decide(at(), begins[2])
-	for until := s.now + 100; s.now < until; {
-		s.step()
+	s.decide(s.now-s.offset, (*begins)[2])
+	s.pass(100, never)
+	if r := n.shard.state.Find("m0"); r.Tries != 2 || !r.Runs || m.runs > 0 {
+		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, m.runs)
 	}
-	if r := n.shard.state.Find("m0"); r.Tries != 2 || !r.Runs || s.msgs["m0"].runs > 0 {
-		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, s.msgs["m0"].runs)
+}
+
+// TestSuccessIsKept: who read a success says so until it is decided, and does not
+// send the message again meanwhile, however long that takes and whoever leads.
+func TestSuccessIsKept(t *testing.T) {
+	s, n, m, _ := alone(t, queue.End)
+	s.pass(1000, func() bool { return m.readBy != nil })
+	s.pass(25000, never)
+	n.leads = false
+	s.pass(100, never)
+	n.leads = true
+	s.pass(5000, never)
+	s.held = nil
+	s.pass(500, never)
+	if r := n.shard.state.Find("m0"); len(s.faults) > 0 || r.Tries != 1 || r.End != queue.Done {
+		t.Fatalf("%s after %d attempts: %v", r.End, r.Tries, s.faults)
 	}
 }
