A message that is handed in again goes to the group it went to before

A message that any group may take was given to one chosen by chance. Handed in again under the same id, it could be taken by two groups and run twice, also at the same edge; one that an edge had given up as unsure could then be promised never to run (503), since a store turned the second copy away; and an answer to the first copy named the group of the second. Two that asked for one message at once: the second got 504.

The id chooses among the groups that will do, so edges of a zone choose alike, also after another group lost its leader. An edge remembers where it gave an id, gives it nowhere else, marks the copy as a further one, and promises nothing of it. Who asks for a message that is under way is answered with it.

--- a/internal/ingest/calls.go
+++ b/internal/ingest/calls.go
@@ -1,7 +1,8 @@
 package ingest
 
 import (
-	"math/rand/v2"
+	"encoding/binary"
+	"hash/fnv"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -38,8 +39,39 @@
 	sent   unit.Millis
 	to     unit.Node
 	tries  int
+	spoken bool // a copy went out before this call: it may be taken whatever becomes of this one
 	queued bool
-	got    chan answer
+	got    []chan answer // whoever asks
+}
+
+// mostAsk bounds who waits for one message.
+const mostAsk = 4
+
+// given remembers which group the messages of this edge went to: an id that comes
+// again, because its answer was lost, goes nowhere else, and is promised nothing. It
+// holds what was given out in the last givenFor, or the last mostGiven.
+type given struct {
+	now, before map[accord.ID]unit.Group
+	at          unit.Millis
+}
+
+const (
+	givenFor  = unit.Millis(120000)
+	mostGiven = 20000
+)
+
+func (x *given) note(now unit.Millis, id accord.ID, g unit.Group) {
+	if x.now == nil || now-x.at > givenFor || len(x.now) >= mostGiven {
+		x.before, x.now, x.at = x.now, map[accord.ID]unit.Group{}, now
+	}
+	x.now[id] = g
+}
+
+func (x *given) group(id accord.ID) (g unit.Group, ok bool) {
+	if g, ok = x.now[id]; !ok {
+		g, ok = x.before[id]
+	}
+	return g, ok
 }
 
 // current gives the configuration; any goroutine may ask.
@@ -54,24 +86,37 @@
 	got := make(chan answer, 1)
 	d.actor.Do(func() {
 		now := unit.Steady()
-		c := &call{req: accord.Request{ID: accord.ID{Origin: m.ID}, Data: b}, at: now, end: now + max(wait-30, wait/2), got: got}
-		switch {
-		case d.calls[c.req.ID] != nil:
-			got <- answer{why: "a message of this id is under way here"}
-			return
-		case d.shards() == 0 || len(d.calls) >= d.b.calls || d.held() > d.b.bytes:
-			got <- answer{verdict: never, why: "too much is under way here"}
-			return
-		}
-		c.group, c.free = dispatch.ShardOf(d.config, route, m.Key, d.shards())
-		if c.free && !d.choose(c) {
-			got <- answer{verdict: never, why: "no shard can be reached now"}
+		d.admit(route, m.Key, &call{req: accord.Request{ID: accord.ID{Origin: m.ID}, Data: b}, at: now, end: now + max(wait-30, wait/2), got: []chan answer{got}})
+	})
+	return <-got
+}
+
+// admit takes up a message. One that is under way here already has one more that
+// waits for it.
+func (d *Daemon) admit(route *rule.Space, key string, c *call) {
+	if old := d.calls[c.req.ID]; old != nil {
+		if len(old.got) >= mostAsk {
+			c.spoken = true
+			d.answer(c, answer{why: "a message of this id is under way here"})
 			return
 		}
+		old.got = append(old.got, c.got...)
+		return
+	}
+	c.group, c.free = dispatch.ShardOf(d.config, route, key, d.shards())
+	g, spoken := d.given.group(c.req.ID)
+	if c.spoken = spoken; c.free && spoken {
+		c.group, c.free = g, false
+	}
+	switch {
+	case d.shards() == 0 || len(d.calls) >= d.b.calls || d.held() > d.b.bytes:
+		d.answer(c, answer{why: "too much is under way here"})
+	case c.free && !d.choose(c):
+		d.answer(c, answer{why: "no shard can be reached now"})
+	default:
 		d.calls[c.req.ID] = c
 		d.queue(c)
-	})
-	return <-got
+	}
 }
 
 // held is the bytes of the messages under way.
@@ -83,7 +128,9 @@
 }
 
 // choose gives a message to a group whose leader is in this zone, so that it
-// crosses between zones no more than it must; else to any that has one.
+// crosses between zones no more than it must; else to any that has one. Its id
+// chooses among them, so that the same message, handed in again at another edge of
+// the zone, goes to the same group and is run once.
 func (d *Daemon) choose(c *call) bool {
 	var near, far, late []unit.Group
 	now := unit.Steady()
@@ -106,7 +153,14 @@
 	if len(near) == 0 {
 		return false
 	}
-	c.group = near[rand.N(len(near))]
+	best := uint64(0)
+	for _, g := range near {
+		h := fnv.New64a()
+		h.Write(append(binary.BigEndian.AppendUint32(nil, uint32(g)), c.req.ID.Origin...))
+		if x := h.Sum64(); x >= best {
+			best, c.group = x, g
+		}
+	}
 	return true
 }
 
@@ -134,7 +188,8 @@
 				continue
 			}
 			c.sent, c.to = now, x.node
-			if c.tries++; c.tries > 1 {
+			d.given.note(now, c.req.ID, g)
+			if c.tries++; c.tries > 1 || c.spoken {
 				again.Reqs = append(again.Reqs, c.req)
 			} else {
 				fresh.Reqs = append(fresh.Reqs, c.req)
@@ -168,7 +223,7 @@
 				c.queued = false
 				d.queue(c)
 			} else if now-c.at > max(d.b.quiet, (c.end-c.at)/2) {
-				d.answer(c, answer{verdict: never, why: "the shard has no leader now"})
+				d.answer(c, answer{why: "the shard has no leader now"})
 			}
 		case c.tries > 0 && !c.queued && now-c.sent >= d.b.again:
 			if x != nil && x.node == c.to && now-x.seenAt >= d.b.again {
@@ -182,14 +237,19 @@
 	}
 }
 
-// answer ends a message's wait. One that was given to nobody will never run.
+// answer ends a message's wait. One that was given to nobody, now or before, will
+// never run.
 func (d *Daemon) answer(c *call, a answer) {
-	delete(d.calls, c.req.ID)
-	if a.verdict == unsure && c.tries == 0 {
+	if d.calls[c.req.ID] == c {
+		delete(d.calls, c.req.ID)
+	}
+	if a.verdict != kept && c.tries == 0 && !c.spoken {
 		a.verdict = never
 	}
 	a.group = c.group
-	c.got <- a
+	for _, got := range c.got {
+		got <- a
+	}
 }
 
 func (d *Daemon) taken(now unit.Millis, id accord.ID) {
@@ -215,7 +275,7 @@
 		if c.tries == 1 {
 			c.tries = 0 // as if it had never been sent
 			if x.Full {
-				d.answer(c, answer{verdict: never, why: "too much waits at the shard"})
+				d.answer(c, answer{why: "too much waits at the shard"})
 				continue
 			}
 		}
--- a/internal/ingest/calls_test.go
+++ b/internal/ingest/calls_test.go
@@ -1,10 +1,19 @@
 package ingest
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/choir"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/trace"
@@ -18,7 +27,7 @@
 		norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 2)}}, b: bounds{quiet: 400, again: 250},
 		calls: map[accord.ID]*call{}, out: map[unit.Group][]*call{}, zones: map[unit.Node]unit.Zone{},
 		leads: map[unit.Group]*lead{0: {}, 1: {node: "127.0.0.1:2"}}}
-	c := &call{req: accord.Request{ID: accord.ID{Origin: "m"}}, free: true, end: 2000, got: make(chan answer, 1)}
+	c := &call{req: accord.Request{ID: accord.ID{Origin: "m"}}, free: true, end: 2000, got: []chan answer{make(chan answer, 1)}}
 	d.calls[c.req.ID] = c
 	d.queue(c) // of group 0, which has no leader
 	d.forward(0)
@@ -35,14 +44,22 @@
 
 	// one copy, turned away: it never runs; two copies: nobody knows
 	d.denied(80, c.to, trace.Deny{Group: 1, Full: true, IDs: []accord.ID{c.req.ID}})
-	if a := <-c.got; a.verdict != never {
+	if a := <-c.got[0]; a.verdict != never {
 		t.Fatalf("the only copy was turned away: %v", a)
 	}
 	c.tries, c.free, d.calls[c.req.ID] = 2, false, c
 	d.denied(90, c.to, trace.Deny{Group: 1, Full: true, IDs: []accord.ID{c.req.ID}})
-	if d.giveUp(2000); (<-c.got).verdict != unsure {
+	if d.giveUp(2000); (<-c.got[0]).verdict != unsure {
 		t.Fatal("a message of which a copy may be taken is promised never to run")
 	}
+
+	// more ask for one message than are told: nothing is promised to the last
+	c.tries, c.got, d.calls[c.req.ID] = 0, make([]chan answer, mostAsk), c
+	last := &call{req: c.req, got: []chan answer{make(chan answer, 1)}}
+	d.admit(nil, "", last)
+	if a := <-last.got[0]; a.verdict != unsure || d.calls[c.req.ID] != c {
+		t.Fatalf("one too many: %v", a)
+	}
 }
 
 // TestLate: a leader that keeps messages waiting is passed by, if another is there.
@@ -75,3 +92,206 @@
 		}
 	}
 }
+
+// station is an edge over loopback, and a store that leads all groups and answers
+// what is handed in with what say says: known, deny, or nothing.
+func station(t *testing.T, say func(p trace.Propose, id string) lane.Kind) (d *Daemon, front string) {
+	conf, err := rule.ReadConfig(rule.Pack([]byte(`{"config_release":1,"routing_entries":[{"label":"x","host_id":"","path_prefix":"/x","route_class":"deferred","service_ref":"s","hold_s":60}],"service_set":[{"label":"s"}]}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := unit.Node(ln.Addr().String())
+	ln.Close()
+	b := lane.Bounds{Queue: 1 << 20, Frame: 1 << 20, Dial: time.Second, Silence: time.Second, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
+	store := lane.New(lane.Hello{Node: addr, Life: 1}, b, func(l *lane.Link, k lane.Kind, raw []byte) {
+		if x, ok := lane.Get[trace.Who](raw); ok && k == trace.KindWho {
+			l.Send(trace.KindLead, trace.Lead{Group: x.Group, Node: addr})
+			return
+		}
+		p, _ := lane.Get[trace.Propose](raw)
+		for _, r := range p.Reqs {
+			switch say(p, r.ID.Origin) {
+			case trace.KindKnown:
+				l.Send(trace.KindKnown, trace.Flow{Outcomes: []trace.Outcome{{ID: r.ID}}})
+			case trace.KindDeny:
+				l.Send(trace.KindDeny, trace.Deny{Group: p.Group, Full: true, IDs: []accord.ID{r.ID}})
+			}
+		}
+	}, func(*lane.Link) {})
+	if err := store.Listen(string(addr)); err != nil {
+		t.Fatal(err)
+	}
+	d = &Daemon{actor: choir.NewActor(100), norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 5)}}, b: bounds{calls: 100, bytes: 1 << 20, body: 1 << 16, quiet: 400, again: 50, late: 1 << 30, wait: 300},
+		config: conf,
+		calls:  map[accord.ID]*call{}, out: map[unit.Group][]*call{}, zones: map[unit.Node]unit.Zone{}, leads: map[unit.Group]*lead{}}
+	d.shown.Store(d.config)
+	for g := unit.Group(0); g < 5; g++ {
+		d.norm.News.Shards[g].Voters = []accord.Member{{Num: 1, Node: addr}}
+	}
+	d.hub = lane.New(lane.Hello{Node: "edge", Life: 2}, b, d.frame, func(*lane.Link) {})
+	go d.actor.Run(func() time.Duration {
+		d.seek(unit.Steady())
+		d.giveUp(unit.Steady())
+		d.forward(unit.Steady())
+		return 5 * time.Millisecond
+	})
+	for n := 0; n < 5; { // until all leaders are known
+		time.Sleep(5 * time.Millisecond)
+		known := make(chan int)
+		d.actor.Do(func() {
+			n := 0
+			for _, x := range d.leads {
+				if x.node != "" {
+					n++
+				}
+			}
+			known <- n
+		})
+		n = <-known
+	}
+	srv := httptest.NewServer(d)
+	t.Cleanup(func() { srv.Close(); d.actor.Stop(); d.hub.Close(0); store.Close(0) })
+	return d, srv.Listener.Addr().String()
+}
+
+// question is a message as a client writes it.
+func question(id string) string {
+	return "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+// put writes questions on one connection and reads as many answers.
+func put(t *testing.T, front string, ids ...string) (codes []int, names []string) {
+	t.Helper()
+	c, err := net.Dial("tcp", front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, id := range ids {
+		io.WriteString(c, question(id))
+	}
+	r := bufio.NewReader(c)
+	for range ids {
+		a, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, a.Body)
+		codes, names = append(codes, a.StatusCode), append(names, a.Header.Get("X-Message-Id"))
+	}
+	return codes, names
+}
+
+// TestQuestions: each answer goes to who asked, in the order asked, whatever becomes
+// of others; a message that comes again goes to its first group and nowhere else, and
+// of one that may have been taken nothing is promised.
+func TestQuestions(t *testing.T) {
+	var mu sync.Mutex
+	saw := map[string][]unit.Group{} // where copies of a message went
+	how := map[string]lane.Kind{}
+	d, front := station(t, func(p trace.Propose, id string) lane.Kind {
+		mu.Lock()
+		defer mu.Unlock()
+		if saw[id] = append(saw[id], p.Group); len(saw[id]) > 1 != p.Again {
+			t.Errorf("copy %d of %s is marked %v", len(saw[id]), id, p.Again)
+		}
+		if k, ok := how[id]; ok {
+			return k
+		}
+		return trace.KindKnown
+	})
+	set := func(id string, k lane.Kind) {
+		mu.Lock()
+		how[id] = k
+		mu.Unlock()
+	}
+	if codes, names := put(t, front, "p1", "p2", "p3"); !slices.Equal(codes, []int{202, 202, 202}) || names[0][1:] != ".p1" || names[1][1:] != ".p2" || names[2][1:] != ".p3" {
+		t.Fatalf("pipelined: %v %v", codes, names)
+	}
+
+	// gone between question and answer; the next on that edge is told of its own
+	set("gone", 0)
+	c, err := net.Dial("tcp", front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, question("gone"))
+	time.Sleep(30 * time.Millisecond)
+	c.Close()
+	if codes, names := put(t, front, "next"); codes[0] != 202 || names[0][1:] != ".next" {
+		t.Fatalf("after one that went away: %v %v", codes, names)
+	}
+
+	// asked twice at once: both are told, and it runs once; given up and late: told of
+	// by nobody; turned away after that: nothing is promised; asked again: to its group
+	set("twin", 0)
+	first := make(chan int)
+	go func() {
+		codes, _ := put(t, front, "twin")
+		first <- codes[0]
+	}()
+	time.Sleep(30 * time.Millisecond)
+	set("twin", trace.KindKnown)
+	if codes, _ := put(t, front, "twin"); codes[0] != 202 || <-first != 202 {
+		t.Fatalf("asked twice at once: %v", codes)
+	}
+	set("late", 0)
+	if codes, _ := put(t, front, "late"); codes[0] != 504 {
+		t.Fatalf("no answer: %v", codes)
+	}
+	d.actor.Do(func() { d.taken(unit.Steady(), accord.ID{Origin: "late"}) })
+	set("late", trace.KindDeny)
+	if codes, _ := put(t, front, "late"); codes[0] != 504 {
+		t.Fatalf("turned away after it may have been taken: %v", codes)
+	}
+	set("late", trace.KindKnown)
+	codes, names := put(t, front, "late")
+	mu.Lock()
+	defer mu.Unlock()
+	if codes[0] != 202 || names[0] != nameOf(saw["late"][0], "late") {
+		t.Fatalf("again: %v %v", codes, names)
+	}
+	for id, all := range saw {
+		if len(slices.Compact(all)) != 1 {
+			t.Errorf("%s was given to groups %v", id, all)
+		}
+	}
+}
+
+// TestSameGroup: edges of a zone give a message to the same group, also after
+// another group lost its leader, and all groups alike; one that gave it to another
+// group gives it there again, whoever leads now.
+func TestSameGroup(t *testing.T) {
+	d := &Daemon{norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 5)}}, b: bounds{late: 120, calls: 9999, bytes: 9999}, leads: map[unit.Group]*lead{},
+		config: &rule.Config{}, calls: map[accord.ID]*call{}, out: map[unit.Group][]*call{}}
+	for g := unit.Group(0); g < 5; g++ {
+		d.leads[g] = &lead{node: "s"}
+	}
+	went := map[unit.Group]int{}
+	for i := 0; i < 1000; i++ {
+		a := &call{req: accord.Request{ID: accord.ID{Origin: strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16)}}}
+		d.choose(a)
+		went[a.group]++
+		b := &call{req: a.req}
+		gone := d.leads[(a.group+1)%5]
+		gone.node = ""
+		if d.choose(b); b.group != a.group {
+			t.Fatalf("message %s goes to groups %d and %d", a.req.ID.Origin, a.group, b.group)
+		}
+		gone.node = "s"
+		b.group, b.free = 0, false
+		d.given.note(unit.Millis(i), b.req.ID, (a.group+1)%5)
+		if d.admit(&rule.Space{}, "", b); b.group != (a.group+1)%5 || b.free || !b.spoken {
+			t.Fatalf("message %s was given to group %d, and goes to %d", a.req.ID.Origin, (a.group+1)%5, b.group)
+		}
+	}
+	for g, n := range went {
+		if n < 150 || n > 250 {
+			t.Errorf("group %d gets %d of 1000", g, n)
+		}
+	}
+}
--- a/internal/ingest/edge.go
+++ b/internal/ingest/edge.go
@@ -40,6 +40,7 @@
 	calls   map[accord.ID]*call
 	asks    map[uint64]*ask
 	askSeq  uint64
+	given   given
 	out     map[unit.Group][]*call
 	leads   map[unit.Group]*lead
 	zones   map[unit.Node]unit.Zone
