A leader that hears no majority does not say that a message is not known

Cause: 404 for a message was the word of whoever believed to lead its shard, also when cut off, while another leader had taken it in. Change: it is said only by a leader that hears a majority (the engine's Fresh); a message that is known is told of as before. Shown with the safeguard taken out: TestUnknown ("not known, as one says that leads: true, cut off: true").

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -34,6 +34,7 @@
 type Group interface {
 	Lead() (n unit.Node, here bool)
 	Time(now unit.Millis) unit.Millis // the decided time, of a leader
+	Fresh(now unit.Millis) bool       // of a leader: it hears a majority
 	Submit(r accord.Request) error
 }
 
@@ -294,8 +295,8 @@
 		if x.Body {
 			out.Packed, out.Body = row.Msg.Packed, row.Msg.Body
 		}
-	} else if !out.Leads {
-		return // a replica may lag: its not knowing says nothing
+	} else if !out.Leads || !gr.Fresh(h.Now()) {
+		return // a replica may lag, and a leader that is cut off as well: it says nothing
 	}
 	l.Send(trace.KindStated, out)
 }
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	randv2 "math/rand/v2"
+	"net"
 	"os"
 	"sort"
 	"strconv"
@@ -44,6 +45,7 @@
 	applied int
 	leads   bool // as it believes
 	up      bool
+	cut     bool
 	life    unit.Life
 }
 
@@ -111,6 +113,7 @@
 	return addrOf(g.n.leader), false
 }
 func (g simGroup) Time(now unit.Millis) unit.Millis { return now - g.n.offset }
+func (g simGroup) Fresh(unit.Millis) bool           { return !g.n.cut }
 func (g simGroup) Submit(r accord.Request) error {
 	if !g.n.leads {
 		return accord.ErrNotLeader
@@ -609,3 +612,34 @@
 		t.Fatalf("%s after %d attempts: %v", r.End, r.Tries, s.faults)
 	}
 }
+
+// TestUnknown: that a message is not known is said by a leader alone, and only while
+// it hears a majority; another may have been taken in elsewhere.
+func TestUnknown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	b, got := lane.Bounds{Queue: 1 << 20, Frame: 1 << 20, Dial: time.Second, Silence: time.Second}, make(chan uint64, 9)
+	edge := lane.New(lane.Hello{Node: "edge", Life: 1}, b, func(_ *lane.Link, _ lane.Kind, raw []byte) {
+		x, _ := lane.Get[trace.Stated](raw)
+		got <- x.Req
+	}, func(*lane.Link) {})
+	if err := edge.Listen(ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	store := lane.New(lane.Hello{Node: "store", Life: 1}, b, nil, func(*lane.Link) {})
+	defer edge.Close(0)
+	defer store.Close(0)
+	s := found(t, 1, "")
+	n := s.nodes[s.leader]
+	for req, c := range []struct{ leads, cut bool }{{false, false}, {true, true}, {true, false}} {
+		n.leads, n.cut = c.leads, c.cut
+		x, _ := cbor.Marshal(trace.State{Req: uint64(req), ID: "m0"})
+		n.host.Frame(store.To(unit.Node(ln.Addr().String())), trace.KindState, x)
+	}
+	if req := <-got; req != 2 {
+		t.Fatalf("not known, as one says that leads: %v, cut off: %v", req > 0, req == 1)
+	}
+}
--- a/internal/hold/messages.go
+++ b/internal/hold/messages.go
@@ -52,6 +52,8 @@
 
 func (r replica) Time(now unit.Millis) unit.Millis { return r.part.Core.Time(now) }
 
+func (r replica) Fresh(now unit.Millis) bool { return r.part.Core.Fresh(now) }
+
 func (r replica) Submit(x accord.Request) error { return r.ch.Submit(r.g, x, false) }
 
 // finish waits, for a part of the time there is for a drain, until what is under
