A number that may have been sent before is never promised not to run

A publish whose connection broke while it was forwarded was given up without being remembered as in doubt: sent again over a new connection and turned away by a full store, it was answered RETRY while the first copy could still be decided. The same at another edge, which knows of no first copy. The answer EXPIRED to a subscription that had been ended meanwhile cut off every other subscriber of its topic here. Words that waited for the actor when their connection ended were still taken: a SUBSCRIBE left a seat nobody gave up.

Calls are remembered as in doubt also when nobody waits any more. RETRY, unless decided, needs a connection that had stood for resend_s. What is taken up anew at another replica has a number of its own, and other answers without an asker are dropped. A connection that ended says nothing more.

Shown with each safeguard taken out and put back: TestRepeated ("of a number that was forwarded: REJECT PUBLISH a.x 7 RETRY"; "of one that may have been sent elsewhere: ... 8 RETRY"), TestGoneBeforeTheAnswer ("one paid for another's cursor: ended true"; "2 subscriptions, 1 asked for, of one connection that is left").

--- a/internal/voice/calls.go
+++ b/internal/voice/calls.go
@@ -46,7 +46,7 @@
 	}
 	if len(d.calls) >= d.b.calls || c.calls >= d.b.perConn || len(d.norm0().Shards) == 0 {
 		cause := cUnknown
-		if d.unspoken(id) {
+		if d.unspoken(now, c, id) {
 			cause = cRetry // never forwarded
 		}
 		c.put(reject(nil, wPublish, w.topic, w.seq, cause))
@@ -183,7 +183,7 @@
 		if c == nil {
 			continue
 		}
-		if x.Full && c.forwards() == 1 && c.c != nil && d.unspoken(id) {
+		if x.Full && c.forwards() == 1 && c.c != nil && d.unspoken(c.at, c.c, id) {
 			// the only forward was turned away: it has not run and never will
 			delete(d.calls, id)
 			c.c.calls--
--- a/internal/voice/calls_test.go
+++ b/internal/voice/calls_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"net"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
+	"oxbowdeck/internal/tale"
 	"oxbowdeck/internal/trace"
 	"oxbowdeck/internal/unit"
 )
@@ -85,6 +89,82 @@
 	}
 }
 
+// TestRepeated: a number whose connection broke between question and answer, and one
+// that may have been sent over an earlier connection of its client elsewhere, is never
+// promised not to run; the answer goes to the connection that asked last.
+func TestRepeated(t *testing.T) {
+	d := &Daemon{conns: map[uint64]*conn{}, calls: map[accord.ID]*call{}, doubts: map[accord.ID]unit.Millis{}, outq: map[unit.Group][]*call{}, ties: []*tie{{lostAt: 1 << 40}},
+		norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 1)}}, config: &rule.Config{}, b: bounds{hope: 300, resend: 1 << 30, calls: 10, perConn: 10, repeat: 10000}}
+	ann := func(id uint64, born unit.Millis) *conn {
+		c := &conn{d: d, id: id, client: "ann", born: born}
+		d.conns[id] = c
+		return c
+	}
+	publish := func(c *conn, seq unit.Seq) accord.ID {
+		d.publish(unit.Steady(), c, word{verb: wPublish, topic: "a.x", seq: seq, body: []byte("body")}, &rule.Space{GuardMs: 1500})
+		id := accord.ID{Origin: "ann", Seq: uint64(seq)}
+		d.calls[id].tries++
+		return id
+	}
+	old := unit.Steady() - 10000
+	first, second := ann(1, old), ann(2, old)
+	publish(first, 7)
+	d.gone(first)
+	d.giveUp(unit.Steady() + 5000)
+	if d.denied(trace.Deny{Full: true, IDs: []accord.ID{publish(second, 7)}}); len(second.fresh) > 0 {
+		t.Fatalf("of a number that was forwarded: %q", second.fresh)
+	}
+	if d.denied(trace.Deny{Full: true, IDs: []accord.ID{publish(ann(3, old+1000), 8)}}); len(d.conns[3].fresh) > 0 {
+		t.Fatalf("of one that may have been sent elsewhere: %q", d.conns[3].fresh)
+	}
+	d.calls[accord.ID{Origin: "ann", Seq: 8}].tries = 0
+	if d.giveUp(unit.Steady() + 5000); !strings.Contains(string(d.conns[3].fresh), "8 UNKNOWN") {
+		t.Fatalf("of one that may have been sent elsewhere: %q", d.conns[3].fresh)
+	}
+	third, fourth := ann(4, old), ann(5, old)
+	id := publish(third, 9)
+	publish(fourth, 9)
+	d.outcome(trace.Outcome{ID: id, Verdict: tale.Fresh})
+	d.outcome(trace.Outcome{ID: id, Verdict: tale.Again}) // of the second copy
+	if got := string(fourth.fresh); got != "ACK a.x 9\r\n" || len(third.fresh) > 0 || third.calls+fourth.calls != 0 {
+		t.Fatalf("answered %q, and %q on the connection before", got, third.fresh)
+	}
+}
+
+// TestGoneBeforeTheAnswer: the answer to a subscription that was ended meanwhile
+// touches nobody else, and words of a connection that ended are not taken.
+func TestGoneBeforeTheAnswer(t *testing.T) {
+	hub := lane.New(lane.Hello{Node: "e"}, lane.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}, nil, func(*lane.Link) {})
+	d := &Daemon{hub: hub, conns: map[uint64]*conn{}, topics: map[unit.Topic]*topic{}, calls: map[accord.ID]*call{}, outq: map[unit.Group][]*call{}, reqs: map[uint64]*sub{}, counts: map[uint64]*census{},
+		norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 1)}}, b: bounds{out: 1000}, ties: []*tie{{cur: hub.To("127.0.0.1:1")}}}
+	conf, err := rule.ReadConfig(rule.Pack([]byte(`{"config_release":1,"routing_entries":[{"label":"a","host_id":"","path_prefix":"a.","route_class":"retained","keep_s":60}]}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.config = conf
+	subscribe := func(id uint64, from string) *conn {
+		a, b := net.Pipe()
+		t.Cleanup(func() { a.Close(); b.Close() })
+		c := newConn(d, id, a)
+		c.client, d.conns[id] = unit.Client("c"+strconv.Itoa(int(id))), c
+		d.take(c, word{verb: wSubscribe, topic: "a.x", arg: from})
+		return c
+	}
+	one := subscribe(1, unit.Cursor(0, 5))
+	asked := d.reqSeq
+	two := subscribe(2, "")
+	d.joined(trace.Joined{Req: d.reqSeq, Topic: "a.x", End: 9})
+	one.end()
+	d.joined(trace.Joined{Req: asked, Topic: "a.x", Expired: true})
+	if two.dead || !strings.HasPrefix(string(two.fresh), "SUCCESS SUBSCRIBE a.x") || d.topics["a.x"].subs[two] == nil {
+		t.Fatalf("one paid for another's cursor: ended %v, told %q", two.dead, two.fresh)
+	}
+	d.take(one, word{verb: wSubscribe, topic: "a.x"})
+	if n := len(d.topics["a.x"].subs); n != 1 || len(d.reqs) != 0 {
+		t.Fatalf("%d subscriptions, %d asked for, of one connection that is left", n, len(d.reqs))
+	}
+}
+
 // TestClientsThatCostTooMuch: one that does not read is cut off at its bound and
 // the next one is served; one that falls silent is dropped.
 func TestClientsThatCostTooMuch(t *testing.T) {
--- a/internal/voice/conn.go
+++ b/internal/voice/conn.go
@@ -17,6 +17,7 @@
 	id      uint64
 	nc      net.Conn
 	client  unit.Client
+	born    unit.Millis
 	heard   unit.Millis
 	subs    int
 	calls   int
@@ -34,7 +35,8 @@
 
 func newConn(d *Daemon, id uint64, nc net.Conn) *conn {
 	lane.Tune(nc, 5*time.Second)
-	return &conn{d: d, id: id, nc: nc, heard: unit.Steady(), ready: make(chan struct{}, 1)}
+	now := unit.Steady()
+	return &conn{d: d, id: id, nc: nc, born: now, heard: now, ready: make(chan struct{}, 1)}
 }
 
 // put queues bytes for the client; they leave at the end of the actor's turn.
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -67,6 +67,7 @@
 	hope     unit.Millis // without a replica for longer, calls are given up at once
 	margin   unit.Millis // before a route's time-out a doubtful publish is given up
 	joinWait unit.Millis
+	repeat   unit.Millis // a client may repeat a number for so long
 }
 
 // Start serves clients at the front address.
@@ -80,7 +81,7 @@
 		silence: unit.Millis(set.PingS * 3200), resend: unit.Millis(set.Int("forward_again_ms", 400)),
 		nudge: unit.Millis(set.Int("forward_spare_ms", 60)),
 		quiet: unit.Millis(set.Int("replica_quiet_ms", 400)), hope: unit.Millis(set.Int("hope_ms", 300)), late: unit.Millis(set.Int("replica_late_ms", 120)), margin: unit.Millis(set.Int("give_up_margin_ms", 200)),
-		joinWait: unit.Millis(set.Int("join_wait_ms", 900)),
+		joinWait: unit.Millis(set.Int("join_wait_ms", 900)), repeat: unit.Millis(set.ResendS * 1000),
 	}
 	addr := set.Inner(ground.PortEdge)
 	d.self = rule.Node{Name: set.Name, Duty: rule.Edge, Zone: set.Zone, Addr: addr, Front: set.Front, Life: unit.Life(rand.Uint64() >> 1)}
@@ -135,6 +136,9 @@
 
 // take handles one message of a client.
 func (d *Daemon) take(c *conn, w word) {
+	if d.conns[c.id] != c {
+		return // it ended while this word waited
+	}
 	now := unit.Steady()
 	c.heard = now
 	if w.cause != "" {
@@ -371,15 +375,15 @@
 		switch {
 		case dark || now >= x.end:
 			delete(d.calls, x.req.ID)
-			if x.c == nil {
-				continue
-			}
-			x.c.calls--
 			cause := cUnknown
-			if x.tries == 0 && !dark && d.unspoken(x.req.ID) {
+			if x.tries == 0 && !dark && d.unspoken(x.at, x.c, x.req.ID) {
 				cause = cRetry
 			}
 			d.doubt(now, x)
+			if x.c == nil {
+				continue
+			}
+			x.c.calls--
 			x.c.put(reject(nil, wPublish, x.topic, x.seq, cause))
 		case x.tries > 0 && !x.queued && now-x.sent >= d.b.resend:
 			d.queue(x)
@@ -396,15 +400,17 @@
 // doubt remembers that a call was forwarded and given up: the same number, sent
 // again, must not be promised never to run.
 func (d *Daemon) doubt(now unit.Millis, x *call) {
-	if x.tries > 0 && len(d.doubts) < mostDoubts {
+	if x.tries > 0 && x.seq > 0 && len(d.doubts) < mostDoubts {
 		d.doubts[x.req.ID] = now
 	}
 }
 
-// unspoken tells whether no earlier try of a number was forwarded from here.
-func (d *Daemon) unspoken(id accord.ID) bool {
+// unspoken tells whether no earlier try of a number that came at a time was forwarded,
+// from here or, over an earlier connection of the client, from another edge: numbers
+// may be repeated for a while.
+func (d *Daemon) unspoken(at unit.Millis, c *conn, id accord.ID) bool {
 	_, spoken := d.doubts[id]
-	return !spoken && len(d.doubts) < mostDoubts
+	return !spoken && len(d.doubts) < mostDoubts && c != nil && at-c.born >= d.b.repeat
 }
 
 // serves tells whether clients are well off here: every shard is followed. Once
--- a/internal/voice/follow.go
+++ b/internal/voice/follow.go
@@ -228,6 +228,7 @@
 		if active {
 			t.on = true
 			d.reqSeq++
+			t.req = d.reqSeq
 			l.Send(trace.KindWatch, trace.Watch{Req: d.reqSeq, Topic: t.name, From: t.last, Has: true, Keeps: keeps})
 		}
 		for _, s := range t.subs {
--- a/internal/voice/subs.go
+++ b/internal/voice/subs.go
@@ -14,7 +14,8 @@
 	name unit.Topic
 	last unit.Pos // everything up to here was handed to the active subscriptions
 	subs map[*conn]*sub
-	on   bool // the replica followed flows it
+	on   bool   // the replica followed flows it
+	req  uint64 // asked for when it was last taken up at another replica
 }
 
 type sub struct {
@@ -114,8 +115,8 @@
 // joined takes the replica's answer to a Watch.
 func (d *Daemon) joined(j trace.Joined) {
 	s := d.reqs[j.Req]
-	if s == nil {
-		if t := d.topics[j.Topic]; t != nil { // a topic taken up again at another replica
+	if s == nil { // whoever asked is gone, unless a topic was taken up at another replica
+		if t := d.topics[j.Topic]; t != nil && t.req == j.Req {
 			if j.Expired {
 				for c := range t.subs {
 					c.end() // it lacks what no replica has: the client takes it up anew
