Links hand over nothing of an earlier life, and nothing after their end was told

Frames of a process that had died could be taken after those of the next at its address: a FOLLOW of the earlier life then held the place of the living edge, whose outcomes went to a link that was gone. The end of a link was told while its reader still handed frames over: a store kept followers and hearers of links that had ended. Frames before a Hello were taken as nobody's.

A Hello of another life ends the links of the one before it, waits until none hands over any more, and turns that life away for twice Silence; a link that was made before the one that brought the present life brings none. The reader tells of its link's end, after its last frame, and drops what it had read beyond it.

Shown with each safeguard taken out and put back: TestLives ("the link of frame 3 stands", of an earlier life; 4, made earlier and heard later; 5, come late; 8, of nobody), TestNothingAfterTheEnd ("told of ["one" "two" "end"]", "told of ["end" "one" "end"]", "a later life's frame was handed over beside one of the earlier").

--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -2,6 +2,10 @@
 // TCP. A link is an ordered queue of frames to one peer; a queue that grows
 // past its bound breaks the link instead of growing, and every protocol above
 // recovers from a broken link by itself.
+//
+// What the protocols above may count on: nothing of a link is handed over after its
+// end was told; and once a process has been heard, nothing of an earlier life at its
+// address is.
 package lane
 
 import (
@@ -57,6 +61,8 @@
 	out    map[path]*Link
 	failed map[unit.Node]failure // peers that could not be reached lately
 	in     map[*Link]bool
+	seq    uint64 // links taken, in the order they were made
+	peers  map[unit.Node]*peer
 	closed bool
 	ln     net.Listener
 	sent   atomic.Int64 // bytes on the wire, both ways
@@ -101,9 +107,20 @@
 	until time.Time
 }
 
-// New makes a hub. handle runs on the reader of each link, down when one ends.
+// peer is whose frames are taken from an address.
+type peer struct {
+	life  unit.Life
+	seq   uint64                  // of the link that brought the life
+	ended map[unit.Life]time.Time // lives before it, and when they ended
+}
+
+// mostPeers bounds the addresses remembered that have no link.
+const mostPeers = 4096
+
+// New makes a hub. handle runs on the reader of each link, down when one ends, after
+// the last frame.
 func New(self Hello, b Bounds, handle func(*Link, Kind, []byte), down func(*Link)) *Hub {
-	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[path]*Link{}, failed: map[unit.Node]failure{}, in: map[*Link]bool{}}
+	return &Hub{self: self, bounds: b, handle: handle, down: down, out: map[path]*Link{}, failed: map[unit.Node]failure{}, in: map[*Link]bool{}, peers: map[unit.Node]*peer{}}
 }
 
 // Listen takes connections from peers.
@@ -123,9 +140,11 @@
 				time.Sleep(20 * time.Millisecond)
 				continue
 			}
-			l := &Link{hub: h, conn: c, ready: make(chan struct{}, 1)}
+			l := &Link{hub: h, conn: c, reads: true, ready: make(chan struct{}, 1)}
 			Tune(c, h.bounds.Silence)
 			h.mu.Lock()
+			h.seq++
+			l.seq = h.seq
 			h.in[l] = true
 			h.mu.Unlock()
 			go l.read(c)
@@ -164,6 +183,9 @@
 	ready chan struct{}
 	dead  bool
 	pack  bool // deflate what is written
+	reads bool // its reader was started, and tells of its end
+	seq   uint64
+	hands sync.Mutex // held while a frame is handed over
 	heard atomic.Int64
 }
 
@@ -276,7 +298,7 @@
 		c.Close()
 		return
 	}
-	l.conn, l.pack = c, pack
+	l.conn, l.pack, l.reads = c, pack, true
 	l.mu.Unlock()
 	go l.read(c)
 	l.write(c, pack)
@@ -386,6 +408,7 @@
 }
 
 func (l *Link) read(c net.Conn) {
+	defer l.hub.down(l)
 	defer l.Drop()
 	r := bufio.NewReaderSize(tallied{c, &l.hub.taken}, 8<<10)
 	l.mu.Lock()
@@ -417,12 +440,89 @@
 			l.mu.Lock()
 			l.peer, l.pack = h, h.Pack
 			l.mu.Unlock()
+			if !l.hub.meet(l, h) {
+				unit.Log("earlier-life", "peer", h.Node, "life", h.Life)
+				return
+			}
 			if h.Pack {
 				r = bufio.NewReaderSize(flate.NewReader(r), 4<<10)
 			}
 			continue
 		}
-		l.hub.handle(l, Kind(b[0]), b[1:])
+		if l.Peer().Node == "" || !l.hand(Kind(b[0]), b[1:]) {
+			return
+		}
+	}
+}
+
+// hand hands a frame over, unless the link has ended: what was read of it before is
+// dropped.
+func (l *Link) hand(k Kind, b []byte) bool {
+	l.hands.Lock()
+	defer l.hands.Unlock()
+	l.mu.Lock()
+	dead := l.dead
+	l.mu.Unlock()
+	if !dead {
+		l.hub.handle(l, k, b)
+	}
+	return !dead
+}
+
+// meet takes a peer's Hello; false if it is of an earlier life. Lives have no order
+// of their own: the later one is that whose links were made later. A life that ended
+// is turned away for as long as its kernel may hold bytes of it, twice over; not for
+// good, as links of two lives might be made out of order once. The links of earlier
+// lives end, and it returns when none of them hands over any more.
+func (h *Hub) meet(l *Link, x Hello) bool {
+	now := time.Now()
+	h.mu.Lock()
+	p := h.peers[x.Node]
+	if p == nil {
+		if len(h.peers) >= mostPeers {
+			h.forget()
+		}
+		p = &peer{life: x.Life, seq: l.seq, ended: map[unit.Life]time.Time{}}
+		h.peers[x.Node] = p
+	}
+	if p.life != x.Life {
+		for life, at := range p.ended {
+			if now.Sub(at) > 2*h.bounds.Silence {
+				delete(p.ended, life)
+			}
+		}
+		if _, over := p.ended[x.Life]; over || l.seq < p.seq {
+			h.mu.Unlock()
+			return false
+		}
+		p.ended[p.life] = now
+		p.life, p.seq = x.Life, l.seq
+	}
+	var old []*Link
+	for o := range h.in {
+		if y := o.Peer(); o != l && y.Node == x.Node && y.Life != x.Life {
+			old = append(old, o)
+		}
+	}
+	h.mu.Unlock()
+	for _, o := range old {
+		o.Drop()
+		o.hands.Lock()
+		o.hands.Unlock()
+	}
+	return true
+}
+
+// forget lets go of the addresses without a link.
+func (h *Hub) forget() {
+	held := map[unit.Node]bool{}
+	for l := range h.in {
+		held[l.Peer().Node] = true
+	}
+	for n := range h.peers {
+		if !held[n] {
+			delete(h.peers, n)
+		}
 	}
 }
 
@@ -435,7 +535,7 @@
 	}
 	l.dead = true
 	l.buf = nil
-	c := l.conn
+	c, reads := l.conn, l.reads
 	l.mu.Unlock()
 	if c != nil {
 		c.Close()
@@ -450,7 +550,9 @@
 	case l.ready <- struct{}{}:
 	default:
 	}
-	l.hub.down(l)
+	if !reads {
+		l.hub.down(l)
+	}
 }
 
 // Get decodes a frame's content.
--- a/internal/lane/lane_test.go
+++ b/internal/lane/lane_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"oxbowdeck/internal/unit"
 )
 
@@ -147,3 +152,112 @@
 		t.Fatalf("%d bytes a link", each)
 	}
 }
+
+// TestLives: once a process has been heard, nothing of an earlier life at its address
+// is taken any more: not over the links it left, nor over one that turns up late.
+// Frames of nobody are not taken at all.
+func TestLives(t *testing.T) {
+	got := make(chan byte, 9)
+	_, to, _ := pair(t, false, func(_ *Link, _ Kind, b []byte) { got <- b[0] })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", string(to))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	hello := func(c net.Conn, life unit.Life) {
+		b, _ := cbor.Marshal(Hello{Node: "p", Life: life})
+		c.Write(frame(nil, kindHello, b))
+	}
+	taken := func(c net.Conn, n byte) {
+		t.Helper()
+		c.Write(frame(nil, 5, []byte{n}))
+		select {
+		case x := <-got:
+			if x != n {
+				t.Fatalf("frame %d was taken, want %d", x, n)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("frame %d was not taken", n)
+		}
+	}
+	ended := func(c net.Conn, n byte) {
+		t.Helper()
+		c.Write(frame(nil, 5, []byte{n}))
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("the link of frame %d stands", n)
+		}
+		select {
+		case x := <-got:
+			t.Fatalf("frame %d was taken", x)
+		default:
+		}
+	}
+	a, b, c := dial(), dial(), dial()
+	hello(a, 1)
+	taken(a, 1)
+	hello(c, 2)
+	taken(c, 2)
+	ended(a, 3)
+	hello(b, 7) // made before that of life 2, and not heard before
+	ended(b, 4)
+	late, more := dial(), dial()
+	hello(late, 1)
+	ended(late, 5)
+	hello(more, 2)
+	taken(more, 6)
+	taken(c, 7)
+	ended(dial(), 8)
+}
+
+// TestNothingAfterTheEnd: the end of a link is told after its last frame, what was read
+// of it and not handed over is dropped, and a later life's frames come after it.
+func TestNothingAfterTheEnd(t *testing.T) {
+	at, hold, told := make(chan bool, 9), make(chan bool), make(chan string, 9)
+	h := New(Hello{Node: "b"}, small, func(l *Link, _ Kind, b []byte) {
+		at <- true
+		<-hold
+		told <- string(b)
+	}, func(*Link) { told <- "end" })
+	if err := h.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close(0)
+	say := func(life unit.Life, frames ...string) {
+		c, err := net.Dial("tcp", h.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		b, _ := cbor.Marshal(Hello{Node: "p", Life: life})
+		b = frame(nil, kindHello, b)
+		for _, f := range frames {
+			b = frame(b, 5, []byte(f))
+		}
+		c.Write(b)
+	}
+	say(1, "one", "two")
+	<-at
+	say(2, "new")
+	select {
+	case <-at:
+		t.Fatal("a later life's frame was handed over beside one of the earlier")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(hold)
+	var order []string
+	for len(order) < 3 {
+		select {
+		case x := <-told:
+			order = append(order, x)
+		case <-time.After(5 * time.Second):
+			t.Fatalf("told of %q", order)
+		}
+	}
+	if slices.Contains(order, "two") || order[0] != "one" || !slices.Contains(order, "end") {
+		t.Fatalf("told of %q", order)
+	}
+}
