Tests of links reset between edge and store, and of answers after their asker gave up

TestQuestions also resets the link on which a message went out: it goes again, marked so, to the same group. TestAsks: numbers of questions are not used again. With a number used again it says "told "of m1""; with the copy not marked TestQuestions says "copy 2 of reset is marked false".

--- a/internal/ingest/calls_test.go
+++ b/internal/ingest/calls_test.go
@@ -93,8 +93,10 @@
 	}
 }
 
+const reset = lane.Kind(255)
+
 // station is an edge over loopback, and a store that leads all groups and answers
-// what is handed in with what say says: known, deny, or nothing.
+// what is handed in with what say says: known, deny, nothing, or by resetting the link.
 func station(t *testing.T, say func(p trace.Propose, id string) lane.Kind) (d *Daemon, front string) {
 	conf, err := rule.ReadConfig(rule.Pack([]byte(`{"config_release":1,"routing_entries":[{"label":"x","host_id":"","path_prefix":"/x","route_class":"deferred","service_ref":"s","hold_s":60}],"service_set":[{"label":"s"}]}`)))
 	if err != nil {
@@ -115,6 +117,8 @@
 		p, _ := lane.Get[trace.Propose](raw)
 		for _, r := range p.Reqs {
 			switch say(p, r.ID.Origin) {
+			case reset:
+				l.Drop()
 			case trace.KindKnown:
 				l.Send(trace.KindKnown, trace.Flow{Outcomes: []trace.Outcome{{ID: r.ID}}})
 			case trace.KindDeny:
@@ -132,7 +136,7 @@
 	for g := unit.Group(0); g < 5; g++ {
 		d.norm.News.Shards[g].Voters = []accord.Member{{Num: 1, Node: addr}}
 	}
-	d.hub = lane.New(lane.Hello{Node: "edge", Life: 2}, b, d.frame, func(*lane.Link) {})
+	d.hub = lane.New(lane.Hello{Node: "edge", Life: 2}, b, d.frame, d.down)
 	go d.actor.Run(func() time.Duration {
 		d.seek(unit.Steady())
 		d.giveUp(unit.Steady())
@@ -200,6 +204,9 @@
 			t.Errorf("copy %d of %s is marked %v", len(saw[id]), id, p.Again)
 		}
 		if k, ok := how[id]; ok {
+			if k == reset {
+				how[id] = trace.KindKnown
+			}
 			return k
 		}
 		return trace.KindKnown
@@ -213,6 +220,15 @@
 		t.Fatalf("pipelined: %v %v", codes, names)
 	}
 
+	// reset while it was on its way, or its answer: it goes again, to the same group
+	set("reset", reset)
+	codes, names := put(t, front, "reset")
+	mu.Lock()
+	if codes[0] != 202 || names[0] != nameOf(saw["reset"][0], "reset") || len(saw["reset"]) < 2 {
+		t.Fatalf("a link was reset: %v %v, went to %v", codes, names, saw["reset"])
+	}
+	mu.Unlock()
+
 	// gone between question and answer; the next on that edge is told of its own
 	set("gone", 0)
 	c, err := net.Dial("tcp", front)
@@ -249,7 +265,7 @@
 		t.Fatalf("turned away after it may have been taken: %v", codes)
 	}
 	set("late", trace.KindKnown)
-	codes, names := put(t, front, "late")
+	codes, names = put(t, front, "late")
 	mu.Lock()
 	defer mu.Unlock()
 	if codes[0] != 202 || names[0] != nameOf(saw["late"][0], "late") {
@@ -295,3 +311,35 @@
 		}
 	}
 }
+
+// TestAsks: an answer that comes after its asker gave up is nobody's: numbers of
+// questions are not used again.
+func TestAsks(t *testing.T) {
+	d := &Daemon{asks: map[uint64]*ask{}, actor: choir.NewActor(9), norm: &rule.Client{News: &rule.News{Shards: make([]rule.Shard, 1)}}, b: bounds{calls: 9}}
+	go d.actor.Run(func() time.Duration { return 0 })
+	defer d.actor.Stop()
+	got := make(chan trace.Stated, 2)
+	for _, id := range []string{"0.m1", "0.m2"} {
+		go func() {
+			x, _, _ := d.ask(id, false)
+			got <- x
+		}()
+		n := 0
+		for n == 0 {
+			seen := make(chan int)
+			d.actor.Do(func() { seen <- len(d.asks) })
+			n = <-seen
+		}
+		if id == "0.m1" {
+			d.actor.Do(func() { d.pursue(1<<40, 1, d.asks[1]) })
+			if x := <-got; x.Req != 0 {
+				t.Fatal("answered before its time")
+			}
+		}
+	}
+	d.actor.Do(func() { d.stated(trace.Stated{Req: 1, Known: true, Seal: "of m1"}) })
+	d.actor.Do(func() { d.stated(trace.Stated{Req: 2, Known: true, Seal: "of m2"}) })
+	if x := <-got; x.Seal != "of m2" {
+		t.Fatalf("told %q", x.Seal)
+	}
+}
