--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	randv2 "math/rand/v2"
+	"net"
 	"os"
 	"sort"
 	"strconv"
@@ -22,9 +23,10 @@
 )
 
 // A simulated run: three processes with real hosts over one decided order, which
-// loses or delays what a leader that falls had put to it, and stand-in workers
-// that fail, fall silent and lose answers. After each step the rules are checked
-// from what the workers saw.
+// loses or delays what a leader that falls had put to it, frames between them that
+// are lost with their connection or come much later, and stand-in workers that fail,
+// fall silent, lose answers, and go on after their connection was reset. After each
+// step the rules are checked from what the workers saw.
 
 const simConfig = `{"config_release":1,"routing_entries":[
 {"label":"a","host_id":"","path_prefix":"/plain","route_class":"deferred","guard_timer_ms":800,"service_ref":"list","max_attempts":4,"hold_s":600},
@@ -43,6 +45,7 @@
 	applied int
 	leads   bool // as it believes
 	up      bool
+	cut     bool
 	life    unit.Life
 }
 
@@ -83,6 +86,8 @@
 	calm   bool
 	faults []string
 	spoil  string // which safeguard is taken away
+	stamp  unit.Millis
+	held   func(accord.Request) bool // takes a request out of the order, for a while
 	news   *rule.News
 }
 
@@ -108,6 +113,7 @@
 	return addrOf(g.n.leader), false
 }
 func (g simGroup) Time(now unit.Millis) unit.Millis { return now - g.n.offset }
+func (g simGroup) Fresh(unit.Millis) bool           { return !g.n.cut }
 func (g simGroup) Submit(r accord.Request) error {
 	if !g.n.leads {
 		return accord.ErrNotLeader
@@ -125,15 +131,24 @@
 	if cbor.Unmarshal(r.Data, &c) == nil && c.Verb == queue.End && s.spoil == "twice" {
 		return
 	}
-	s.in(unit.Millis(5+s.rng.Intn(25)), func() {
+	if s.held != nil && s.held(r) {
+		return
+	}
+	wait, stamp := 5+s.rng.Intn(25), s.now-s.offset
+	if !s.calm && s.rng.Intn(60) == 0 {
+		wait += s.rng.Intn(2500)
+	}
+	s.in(unit.Millis(wait), func() {
 		if s.leader == from || s.rng.Intn(3) == 0 {
-			s.decide(r)
+			s.decide(stamp, r)
 		}
 	})
 }
 
-func (s *sim) decide(r accord.Request) {
-	s.log = append(s.log, accord.Decided{Slot: unit.Slot(len(s.log) + 1), Value: accord.Value{Stamp: s.now - s.offset, Reqs: []accord.Request{r}}})
+// decide appends to the order, under the time at which it was proposed.
+func (s *sim) decide(stamp unit.Millis, r accord.Request) {
+	s.stamp = max(s.stamp, stamp)
+	s.log = append(s.log, accord.Decided{Slot: unit.Slot(len(s.log) + 1), Value: accord.Value{Stamp: s.stamp, Reqs: []accord.Request{r}}})
 }
 
 func (n *simNode) begin() {
@@ -149,7 +164,15 @@
 			if !ok {
 				return
 			}
-			n.in(unit.Millis(1+n.rng.Intn(4)), func() {
+			wait := 1 + n.rng.Intn(4)
+			switch {
+			case n.calm:
+			case n.rng.Intn(10) == 0:
+				return
+			case n.rng.Intn(10) == 0:
+				wait += n.rng.Intn(2000)
+			}
+			n.in(unit.Millis(wait), func() {
 				if to := n.nodes[int(to[1]-'0')]; to.up && to.leads {
 					for _, r := range p.Reqs {
 						to.put(to.i, r)
@@ -160,7 +183,11 @@
 		Group: func(unit.Group) Group { return simGroup{n} },
 		Full:  func() bool { return false },
 		Run: func(a *Attempt, _ *Pool, done func(Result)) {
-			n.in(unit.Millis(1+n.rng.Intn(3)), func() { n.work(n, life, a, done) })
+			wait := 1 + n.rng.Intn(3)
+			if n.rng.Intn(20) == 0 {
+				wait += n.rng.Intn(300) // a connection that is made slowly
+			}
+			n.in(unit.Millis(wait), func() { n.work(n, life, a, done) })
 		},
 		B: Bounds{Mark: 5, Late: 400, Dial: time.Second, Shut: 300, Report: 1 << 40}})
 	n.host.News(n.news, n.now)
@@ -204,7 +231,20 @@
 	m.runs = s.now + work + 2
 	switch {
 	case dice < 8: // hangs
+		m.runs = s.now + limit
 		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
+	case dice >= 94 && dice < 100: // its connection is reset, and it may go on without
+		work = unit.Millis(s.rng.Intn(int(limit)))
+		m.runs = s.now + work
+		if s.rng.Intn(2) == 0 {
+			s.in(work, func() { s.success(m) })
+		}
+		after := unit.Millis(s.rng.Intn(int(work) + 1))
+		left := (limit + 60 - after).Span()
+		if s.spoil == "again" {
+			left = 0
+		}
+		tell(after, Result{outcome: queue.Lost, kind: refused, left: left})
 	case dice < 12: // does it, and the answer is lost
 		s.in(work, func() { s.success(m) })
 		tell(limit+60, Result{outcome: queue.Lost, kind: silent})
@@ -246,6 +286,9 @@
 	if r := m.readBy; r != nil && r.up && r.life == m.readLife {
 		s.fault("TWICE %s runs again after a success that %s read", m.ID, r.host.Self.Addr)
 	}
+	if m.Path != "/pair" && s.now < m.runs {
+		s.fault("AGAIN %s begins while it may run for %d ms more", m.ID, m.runs-s.now)
+	}
 	if m.Key != "" {
 		for _, o := range s.order {
 			if o != m && o.Key == m.Key && o.told > 0 && o.told < m.sent && o.over == 0 {
@@ -377,7 +420,8 @@
 	n.leads = true
 }
 
-func play(t *testing.T, seed int64, spoil string) []string {
+// found makes the processes, the first of them leading.
+func found(t *testing.T, seed int64, spoil string) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewSource(seed)), leader: -1, msgs: map[string]*simMsg{}, spoil: spoil, now: 1000}
 	rate := float64(simRate)
 	if spoil == "ceiling" {
@@ -394,6 +438,11 @@
 		n.begin()
 	}
 	s.elect()
+	return s
+}
+
+func play(t *testing.T, seed int64, spoil string) []string {
+	s := found(t, seed, spoil)
 	for s.now < 12000 {
 		if s.rng.Intn(12) == 0 {
 			s.send()
@@ -481,7 +530,7 @@
 
 // TestSimSeesFaults: each check fails when its safeguard is taken away.
 func TestSimSeesFaults(t *testing.T) {
-	for spoil, want := range map[string]string{"early": "EARLY", "order": "ORDER", "ceiling": "CEILING", "twice": "TWICE"} {
+	for spoil, want := range map[string]string{"early": "EARLY", "order": "ORDER", "ceiling": "CEILING", "twice": "TWICE", "again": "AGAIN"} {
 		found := false
 		for seed := int64(1); seed <= 6 && !found; seed++ {
 			for _, f := range play(t, seed, spoil) {
@@ -493,3 +542,104 @@
 		}
 	}
 }
+
+// alone is one message of a calm run, with the commands of one kind kept from being
+// decided.
+func alone(t *testing.T, verb queue.Verb) (s *sim, n *simNode, m *simMsg, kept *[]accord.Request) {
+	s, kept = found(t, 1, ""), &[]accord.Request{}
+	s.calm, n = true, s.nodes[s.leader]
+	s.held = func(r accord.Request) bool {
+		var c queue.Command
+		held := cbor.Unmarshal(r.Data, &c) == nil && c.Verb == verb
+		if held {
+			*kept = append(*kept, r)
+		}
+		return held
+	}
+	m = &simMsg{Message: queue.Message{ID: "m0", Method: "POST", Path: "/plain", Hold: 600000, Release: 1}, seals: map[string]bool{}}
+	s.msgs[m.ID], s.order = m, []*simMsg{m}
+	b, _ := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: &m.Message})
+	s.put(n.i, accord.Request{ID: accord.ID{Origin: m.ID}, Data: b})
+	return s, n, m, kept
+}
+
+// pass lets time pass until something is so, at the latest until that long from now.
+func (s *sim) pass(d unit.Millis, until func() bool) {
+	for end := s.now + d; s.now < end && !until(); {
+		s.step()
+	}
+}
+
+func never() bool { return false }
+
+// TestStaleBeginning: a beginning that was decided long after it was proposed is not
+// sent, though its message has been booked anew meanwhile: to whoever leads next its
+// attempt is over soon. Neither is one that its process asked for in an earlier life.
+func TestStaleBeginning(t *testing.T) {
+	s, n, m, begins := alone(t, queue.Begin)
+	kept := func(n int) func() bool { return func() bool { return len(*begins) >= n } }
+	s.pass(1000, kept(1))
+	asked := s.now - s.offset
+	s.pass(9000, kept(2)) // given up, and booked anew
+	s.decide(asked, (*begins)[0])
+	s.pass(100, never)
+	if r := n.shard.state.Find("m0"); r.Tries != 1 || r.Runs || m.runs > 0 {
+		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, m.runs)
+	}
+	s.pass(9000, kept(3))
+	n.begin()
+	n.leads = true
+	s.decide(s.now-s.offset, (*begins)[2])
+	s.pass(100, never)
+	if r := n.shard.state.Find("m0"); r.Tries != 2 || !r.Runs || m.runs > 0 {
+		t.Fatalf("%d attempts begun, still runs: %v, a worker had it until %d ms", r.Tries, r.Runs, m.runs)
+	}
+}
+
+// TestSuccessIsKept: who read a success says so until it is decided, and does not
+// send the message again meanwhile, however long that takes and whoever leads.
+func TestSuccessIsKept(t *testing.T) {
+	s, n, m, _ := alone(t, queue.End)
+	s.pass(1000, func() bool { return m.readBy != nil })
+	s.pass(25000, never)
+	n.leads = false
+	s.pass(100, never)
+	n.leads = true
+	s.pass(5000, never)
+	s.held = nil
+	s.pass(500, never)
+	if r := n.shard.state.Find("m0"); len(s.faults) > 0 || r.Tries != 1 || r.End != queue.Done {
+		t.Fatalf("%s after %d attempts: %v", r.End, r.Tries, s.faults)
+	}
+}
+
+// TestUnknown: that a message is not known is said by a leader alone, and only while
+// it hears a majority; another may have been taken in elsewhere.
+func TestUnknown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	b, got := lane.Bounds{Queue: 1 << 20, Frame: 1 << 20, Dial: time.Second, Silence: time.Second}, make(chan uint64, 9)
+	edge := lane.New(lane.Hello{Node: "edge", Life: 1}, b, func(_ *lane.Link, _ lane.Kind, raw []byte) {
+		x, _ := lane.Get[trace.Stated](raw)
+		got <- x.Req
+	}, func(*lane.Link) {})
+	if err := edge.Listen(ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	store := lane.New(lane.Hello{Node: "store", Life: 1}, b, nil, func(*lane.Link) {})
+	defer edge.Close(0)
+	defer store.Close(0)
+	s := found(t, 1, "")
+	n := s.nodes[s.leader]
+	for req, c := range []struct{ leads, cut bool }{{false, false}, {true, true}, {true, false}} {
+		n.leads, n.cut = c.leads, c.cut
+		x, _ := cbor.Marshal(trace.State{Req: uint64(req), ID: "m0"})
+		n.host.Frame(store.To(unit.Node(ln.Addr().String())), trace.KindState, x)
+	}
+	if req := <-got; req != 2 {
+		t.Fatalf("not known, as one says that leads: %v, cut off: %v", req > 0, req == 1)
+	}
+}
