A space's hold_s and in_sequence are read as keep_s and ordered are

The schema asks for one of each pair, in one place; rule.Space takes either. On deferred routes both words keep their own meaning. A target_ms with a fraction passed the schema, and no process could read the configuration: it is read as a fraction now.

TestWordsOfSpaces failed with the schema as it was ("field routing_entries.0.keep_s: field is required but not present") and without Space.words ("keeps 0 s, ordered "", in sequence false").

--- a/internal/edict/config.cue
+++ b/internal/edict/config.cue
@@ -28,12 +28,19 @@
 		in_sequence?:     bool
 		start_target_ms?: number & >=0
 	}
+	// Of a space of topics two things go by two words each; one of them is enough.
 	if route_class != "deferred" {
-		keep_s!:  number & >=0
-		ordered!: "originator" | "topic"
+		keep_s?:      #Keep
+		hold_s?:      #Keep
+		ordered?:     #Order
+		in_sequence?: #Order
+		if hold_s == _|_ {keep_s!: #Keep}
+		if in_sequence == _|_ {ordered!: #Order}
 	}
 	...
 }
+#Keep:  number & >=0
+#Order: "originator" | "topic"
 #Service: {
 	label!:          !=""
 	health_path?:    string
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -289,7 +289,7 @@
 	Prefix  string  `json:"path_prefix"`
 	Class   string  `json:"route_class"`
 	GuardMs int     `json:"guard_timer_ms"`
-	AimMs   int     `json:"target_ms"`
+	AimMs   float64 `json:"target_ms"`
 	Level   int     `json:"prio_level"`
 	KeepS   float64 `json:"keep_s"`
 	Ordered string  `json:"ordered"`
@@ -298,8 +298,25 @@
 	Service  string  `json:"service_ref"`
 	Attempts int     `json:"max_attempts"`
 	HoldS    float64 `json:"hold_s"`
-	Sequence bool    `json:"in_sequence"`
+	Sequence bool    `json:"-"`
 	StartMs  float64 `json:"start_target_ms"`
+
+	InSequence any `json:"in_sequence"` // see words
+}
+
+// words reads what goes by one word on deferred routes and by another on spaces,
+// where some deployments say hold_s for keep_s, and in_sequence for ordered.
+func (s *Space) words() {
+	s.Sequence = s.Class == Deferred && s.InSequence == true
+	if s.Class == Deferred {
+		return
+	}
+	if s.KeepS == 0 {
+		s.KeepS = s.HoldS
+	}
+	if order, ok := s.InSequence.(string); ok && s.Ordered == "" {
+		s.Ordered = order
+	}
 }
 
 // Service is who a route's messages go to.
@@ -323,11 +340,17 @@
 
 // ReadConfig reads a packed configuration that the control plane has checked.
 func ReadConfig(packed []byte) (*Config, error) {
-	var c Config
 	b, err := Unpack(packed)
 	if err != nil {
 		return nil, err
 	}
+	return ParseConfig(b)
+}
+
+// ParseConfig reads a configuration as the operator wrote it; nothing of it is
+// the one before the first.
+func ParseConfig(b []byte) (*Config, error) {
+	var c Config
 	if len(b) > 0 {
 		if err := json.Unmarshal(b, &c); err != nil {
 			return nil, unit.Err("read configuration", "norm", err)
@@ -342,6 +365,7 @@
 	lengths := map[int]bool{}
 	for i := range c.Spaces {
 		x := &c.Spaces[i]
+		x.words()
 		if c.byPrefix[x.Prefix] == nil {
 			c.byPrefix[x.Prefix] = x
 		}
