A configuration that is taken can be read; names twice and deep nesting are refused

Cause: the check read five fields, the processes read all of them. Numbers past 64 bits in optional fields, a fraction or text in a field of another class of route passed the schema, were taken, and then no process could read them. A field written twice in another case (config_release, Config_Release) passed the schema by one value and was read as the other. A body of 20 KB nested 9,990 deep held the check, and its lock, for 4.5 s.

Change: the check ends with the very reader of all processes (rule.ParseConfig); before the schema one scan refuses what is nested over 32 deep or names a field twice, case aside.

--- a/internal/edict/config.go
+++ b/internal/edict/config.go
@@ -17,6 +17,7 @@
 	cuejson "cuelang.org/go/encoding/json"
 
 	"oxbowdeck/internal/ground"
+	"oxbowdeck/internal/rule"
 )
 
 //go:embed config.cue
@@ -35,21 +36,14 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return 0, fmt.Errorf("unreadable: more follows the configuration")
 	}
+	if at, why := form(raw); why != "" {
+		return 0, fmt.Errorf("field %s: %s", at, why)
+	}
 	if err := fits(body); err != nil {
 		return 0, err
 	}
-	var c struct {
-		Release int64 `json:"config_release"`
-		Spaces  []struct {
-			Host    string `json:"host_id"`
-			Prefix  string `json:"path_prefix"`
-			Service string `json:"service_ref"`
-		} `json:"routing_entries"`
-		Services []struct {
-			Label string `json:"label"`
-		} `json:"service_set"`
-	}
-	if err := json.Unmarshal(body, &c); err != nil {
+	c, err := rule.ParseConfig(body) // by the reader of all processes: what is taken can be read
+	if err != nil {
 		return 0, fmt.Errorf("unreadable: %w", err)
 	}
 	services := map[string]bool{"": true}
@@ -69,6 +63,92 @@
 	return c.Release, nil
 }
 
+// mostDeep is how deep a configuration may be nested; the schema's own check
+// takes seconds for thousands of levels.
+const mostDeep = 32
+
+// form tells what is wrong with a JSON text whose syntax is right: it is nested
+// too deep, or an object names a field twice. Names that differ in case alone are
+// one: the schema tells them apart, the processes' reader does not.
+func form(b []byte) (at, why string) {
+	type level struct {
+		object, named bool // named: the next string is a value
+		index         int
+		name          string
+		names         map[string]bool
+	}
+	stack, deep := make([]level, mostDeep), 0
+	path := func() string {
+		var parts []string
+		for _, l := range stack[:deep] {
+			if !l.object {
+				l.name = strconv.Itoa(l.index)
+			}
+			parts = append(parts, l.name)
+		}
+		return strings.Join(parts, ".")
+	}
+	for i := 0; i < len(b); i++ {
+		var top *level
+		if deep > 0 {
+			top = &stack[deep-1]
+		}
+		switch b[i] {
+		case '{', '[':
+			if deep == mostDeep {
+				return path(), "nested too deep"
+			}
+			names := stack[deep].names
+			clear(names)
+			stack[deep] = level{object: b[i] == '{', names: names}
+			deep++
+		case '}', ']':
+			deep--
+		case ',':
+			top.index++
+			top.named = false
+		case '"':
+			from := i
+			for i++; b[i] != '"'; i++ {
+				if b[i] == '\\' {
+					i++
+				}
+			}
+			if top == nil || !top.object || top.named {
+				continue
+			}
+			top.named, top.name = true, fold(b[from:i+1])
+			if top.names == nil {
+				top.names = map[string]bool{}
+			}
+			if top.names[top.name] {
+				return path(), "named twice"
+			}
+			top.names[top.name] = true
+		}
+	}
+	return "", ""
+}
+
+// fold reads a field's name as a reader does that does not look at case.
+func fold(quoted []byte) string {
+	name := string(quoted[1 : len(quoted)-1])
+	if plainField(name) {
+		return name
+	}
+	json.Unmarshal(quoted, &name) // its syntax is right
+	return strings.ToLower(strings.ToUpper(name))
+}
+
+func plainField(name string) bool {
+	for _, c := range []byte(name) {
+		if c >= 0x80 || c == '\\' || 'A' <= c && c <= 'Z' {
+			return false
+		}
+	}
+	return true
+}
+
 // fits checks a configuration against the schema. Thousands of routes differ in
 // little but their names, and the schema asks the same of every route, so one of
 // each kind stands for all of its kind; when that one is refused, all of them are
--- a/internal/edict/state_test.go
+++ b/internal/edict/state_test.go
@@ -92,11 +92,24 @@
 		"more follows":      {`"later":{"field":1}}`, `"later":{}} {}`},
 		"keep below zero":   {`"keep_s":35.0`, `"keep_s":-1`},
 		"prefix with space": {`"a."`, `"a b"`},
+		"named twice":       {`"config_release":7`, `"config_release":7,"config_release":7`},
+		"in another case":   {`"config_release":7`, `"config_release":7,"Config_Relea\u017fe":9`},
+		"deep":              {`{"field":1}`, strings.Repeat("[", 9000) + strings.Repeat("]", 9000)},
+		"whole but huge":    {`"subscriptions":200`, `"subscriptions":100000000000000000000`},
+		"huge":              {`"target_ms":150`, `"target_ms":1e999`},
+		"other class's":     {`"label":"r"`, `"label":"r","max_attempts":"three"`},
+		"null":              {good, "null"},
+		"empty":             {good, ""},
+		"a list":            {good, "[" + good + "]"},
+		"no text":           {`"label":"r"`, "\"label\":\"\xff\""},
 	} {
 		bad := strings.Replace(good, c[0], c[1], 1)
 		if bad == good {
 			t.Fatalf("%s: nothing changed", name)
 		}
+		if (name == "deep" || name == "named twice") && testing.AllocsPerRun(1, func() { Check([]byte(bad)) }) > 500 {
+			t.Errorf("%s: found by the schema's own check, after long", name)
+		}
 		if _, err := Check([]byte(bad)); err == nil {
 			t.Errorf("%s: taken", name)
 		} else if strings.Contains(err.Error(), "\n") {
