--- a/internal/will/will.go
+++ b/internal/will/will.go
@@ -2,6 +2,7 @@
 package will
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -11,6 +12,7 @@
 	"time"
 
 	"oxbowdeck/internal/edict"
+	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/unit"
 )
 
@@ -25,12 +27,30 @@
 	State string `json:"op_state,omitempty"`
 }
 
+// Control is the control process that answers: edict.Daemon.
+type Control interface {
+	Current(wait time.Duration) (release int64, body []byte, err error)
+	Put(match, release int64, body []byte, wait time.Duration) (edict.Result, error)
+	Retire(name string, wait time.Duration) (edict.Result, error)
+	Emptied(name string, wait time.Duration) (known, asked, done bool, err error)
+	Status() edict.Status
+	Beat(w rule.Worker, wait unit.Millis, done func(bool))
+	Left(id string, wait unit.Millis, done func(bool))
+}
+
 // Serve answers the operator at addr, until the function it returns is called.
-func Serve(addr string, d *edict.Daemon, b Bounds) (func(), error) {
+func Serve(addr string, d Control, b Bounds) (func(), error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, unit.Err("listen control", addr, err)
 	}
+	srv := &http.Server{Handler: handler(d, b), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10}
+	go srv.Serve(ln)
+	return func() { srv.Close() }, nil
+}
+
+func handler(d Control, b Bounds) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/configuration", func(w http.ResponseWriter, r *http.Request) { put(w, r, d, b) })
 	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, r *http.Request) {
@@ -49,8 +69,11 @@
 		var order struct {
 			RampS float64 `json:"ramp_s"`
 		}
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096)).Decode(&order); err != nil && err != io.EOF || order.RampS < 0 {
-			say(w, http.StatusBadRequest, answer{Error: "the body must be an object with ramp_s"})
+		if !read(w, r, mostOrder, &order) {
+			return
+		}
+		if order.RampS < 0 {
+			say(w, http.StatusBadRequest, answer{Error: "field ramp_s: must not be below 0"})
 			return
 		}
 		res, err := d.Retire(r.PathValue("node"), b.Wait)
@@ -81,10 +104,42 @@
 	})
 	workers(mux, d, b)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { say(w, http.StatusOK, d.Status()) })
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second,
-		WriteTimeout: 10 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10}
-	go srv.Serve(ln)
-	return func() { srv.Close() }, nil
+	return mux
+}
+
+// mostOrder is the largest body of a call about one machine or worker.
+const mostOrder = 16 << 10
+
+// whole reads a body; without it, the caller is told why.
+func whole(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var big *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &big):
+		say(w, http.StatusRequestEntityTooLarge, answer{Error: "the body is larger than " + strconv.FormatInt(most, 10) + " bytes"})
+	default:
+		say(w, http.StatusBadRequest, answer{Error: "the body could not be read: " + err.Error()})
+	}
+	return nil, false
+}
+
+// read reads a body that is one JSON object and nothing else; an empty one says
+// nothing.
+func read(w http.ResponseWriter, r *http.Request, most int64, v any) bool {
+	body, ok := whole(w, r, most)
+	if body = bytes.TrimSpace(body); !ok || len(body) == 0 {
+		return ok
+	}
+	err := json.Unmarshal(body, v)
+	if err == nil && body[0] != '{' {
+		err = errors.New("it is no object")
+	}
+	if err != nil {
+		say(w, http.StatusBadRequest, answer{Error: "unreadable: " + err.Error()})
+	}
+	return err == nil
 }
 
 func say(w http.ResponseWriter, code int, v any) {
@@ -98,15 +153,9 @@
 	say(w, http.StatusServiceUnavailable, answer{Error: err.Error()})
 }
 
-func put(w http.ResponseWriter, r *http.Request, d *edict.Daemon, b Bounds) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, b.Body))
-	if err != nil {
-		var big *http.MaxBytesError
-		if errors.As(err, &big) {
-			say(w, http.StatusRequestEntityTooLarge, answer{Error: "the configuration is larger than " + strconv.FormatInt(b.Body, 10) + " bytes"})
-			return
-		}
-		say(w, http.StatusBadRequest, answer{Error: "the body could not be read: " + err.Error()})
+func put(w http.ResponseWriter, r *http.Request, d Control, b Bounds) {
+	body, ok := whole(w, r, b.Body)
+	if !ok {
 		return
 	}
 	release, err := edict.Check(body)
--- a/internal/will/workers.go
+++ b/internal/will/workers.go
@@ -1,20 +1,15 @@
 package will
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"regexp"
 	"time"
 
-	"oxbowdeck/internal/edict"
 	"oxbowdeck/internal/rule"
 	"oxbowdeck/internal/unit"
 )
 
-// mostBeat is the largest body of a worker's call.
-const mostBeat = 16 << 10
-
 var entityID = regexp.MustCompile(`^[!-~]{1,128}$`)
 
 // beat is what a worker says of itself.
@@ -50,12 +45,11 @@
 }
 
 // workers takes the calls of workers.
-func workers(mux *http.ServeMux, d *edict.Daemon, b Bounds) {
+func workers(mux *http.ServeMux, d Control, b Bounds) {
 	wait := unit.Millis(b.Wait / time.Millisecond)
 	mux.HandleFunc("PUT /v1/instances/{id}", func(w http.ResponseWriter, r *http.Request) {
 		var x beat
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBeat)).Decode(&x); err != nil {
-			say(w, http.StatusBadRequest, answer{Error: "the body must be an object that says what the worker is: " + err.Error()})
+		if !read(w, r, mostOrder, &x) {
 			return
 		}
 		worker, why := x.worker(r.PathValue("id"))
