--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -39,7 +39,7 @@
 		Beat:     unit.Millis(set.Int("norm_beat_ms", 200)),
 		Patience: unit.Millis(set.Int("norm_patience_ms", 700)),
 		Stagger:  150, OpenBytes: 8 << 20, FeedBytes: 512 << 10, Impatience: 80, Nudge: 60,
-		Quorum: unit.Millis(set.Int("norm_quorum_ms", 1400)), Sound: 1, Salt: rand.N(accord.MostSalt),
+		Quorum: unit.Millis(set.Int("norm_quorum_ms", 3000)), Sound: 1, Salt: rand.N(accord.MostSalt),
 	}
 }
 
--- a/internal/maze/fleet.go
+++ b/internal/maze/fleet.go
@@ -221,7 +221,7 @@
 	}
 	sort.Slice(boot.Entries, func(i, j int) bool { return boot.Entries[i].Slot < boot.Entries[j].Slot })
 	p.core = accord.New(accord.Conf{Self: accord.Member{Num: m.num, Node: m.addr}, Wnd: 8, WndBytes: 4 << 20, Bsz: 64 << 10, Delta: 2,
-		Beat: 200, Patience: 700, Stagger: 150, OpenBytes: 8 << 20, FeedBytes: 512 << 10, Impatience: 80, Nudge: 60, Quorum: 1400, Sound: 1,
+		Beat: 200, Patience: 700, Stagger: 150, OpenBytes: 8 << 20, FeedBytes: 512 << 10, Impatience: 80, Nudge: 60, Quorum: 3000, Sound: 1,
 		Salt: unit.Millis(f.rng.Int63n(int64(accord.MostSalt)))}, boot, f.clock(m))
 	m.proc = p
 	f.logf("start node=%s num=%d disk=%d commit=%d", m.addr, m.num, d.id, p.core.Commit())
