Late copies of seats taken and given up change nothing

A seat is taken and given up by requests that edges repeat, over two links. A copy of the taking that was decided after the giving up seated a client that had left, for the rest of the edge's life; a copy of the giving up, after a new taking on the same connection, unseated one that was there. Counts of subscribers were off by one from then on.

Edges number their seats, and what is given up names the seat that was taken. The state refuses a lower number than that of the seat there, and remembers for 20 s of decided time what was given up. Its saved form has one more item at the end; those without it are read as before.

Shown with each safeguard taken out and put back: TestSeats ("2 seated, want 1: a late copy seated one that had left", "1 seated, want 2: late copies unseated one that had come again", "a saved state did not come back the same", "2 seats given up long ago are remembered"), TestGoneBeforeTheAnswer (all three with Conn:2).

--- a/internal/tale/tale.go
+++ b/internal/tale/tale.go
@@ -6,7 +6,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sort"
@@ -37,7 +39,7 @@
 	Edge   unit.Node   `cbor:"6,keyasint,omitempty"`
 	Keep   unit.Millis `cbor:"7,keyasint,omitempty"` // how long the space keeps it
 	Life   unit.Life   `cbor:"8,keyasint,omitempty"`
-	Conn   uint64      `cbor:"9,keyasint,omitempty"`
+	Conn   uint64      `cbor:"9,keyasint,omitempty"` // the seat's number at the edge: later ones are higher
 }
 
 // Verdict of a publish.
@@ -96,6 +98,26 @@
 	Conn uint64
 }
 
+// riseKey names a client's seats at a topic, of one life of an edge.
+type riseKey struct {
+	_      struct{} `cbor:",toarray"`
+	Topic  unit.Topic
+	Client unit.Client
+	Edge   unit.Node
+	Life   unit.Life
+}
+
+// rise is the last of them that was given up. A copy of its Sit that comes later seats
+// nobody.
+type rise struct {
+	_    struct{} `cbor:",toarray"`
+	Conn uint64
+	At   unit.Millis
+}
+
+// copies is longer than an edge repeats a Sit, and a copy may be on its way.
+const copies = unit.Millis(20000)
+
 // Bounds of what a state holds. They are part of the group's agreement: every
 // replica of a group runs with the same.
 type Bounds struct {
@@ -125,13 +147,14 @@
 	topics map[unit.Topic]*Topic
 	marks  map[markKey]*mark
 	seats  map[unit.Topic]map[unit.Client]seat
+	risen  map[riseKey]rise
 	bytes  int
 }
 
 // New starts an empty state.
 func New(b Bounds) *State {
 	return &State{Bounds: b, topics: map[unit.Topic]*Topic{}, marks: map[markKey]*mark{},
-		seats: map[unit.Topic]map[unit.Client]seat{}}
+		seats: map[unit.Topic]map[unit.Client]seat{}, risen: map[riseKey]rise{}}
 }
 
 func (s *State) Slot() unit.Slot    { return s.slot }
@@ -158,18 +181,24 @@
 }
 
 func (s *State) run(id accord.ID, c *Command, pos unit.Pos, emit func(Event)) {
+	key := riseKey{Topic: c.Topic, Client: c.Client, Edge: c.Edge, Life: c.Life}
 	switch c.Verb {
 	case Publish:
 		emit(Event{ID: id, Cmd: c, Pos: pos, Verdict: s.publish(c, pos)})
 	case Sit:
+		emit(Event{ID: id, Cmd: c, Pos: pos})
 		t := s.seats[c.Topic]
+		x := t[c.Client]
+		if r, ok := s.risen[key]; ok && c.Conn <= r.Conn || x.Edge == c.Edge && x.Life == c.Life && c.Conn < x.Conn {
+			return // a copy that is late
+		}
 		if t == nil {
 			t = map[unit.Client]seat{}
 			s.seats[c.Topic] = t
 		}
 		t[c.Client] = seat{Edge: c.Edge, Life: c.Life, Conn: c.Conn}
-		emit(Event{ID: id, Cmd: c, Pos: pos})
 	case Rise:
+		s.risen[key] = rise{Conn: max(c.Conn, s.risen[key].Conn), At: s.clock}
 		if t := s.seats[c.Topic]; t != nil {
 			if x := t[c.Client]; x.Edge == c.Edge && x.Life == c.Life && x.Conn == c.Conn {
 				delete(t, c.Client)
@@ -268,6 +297,11 @@
 			bare++
 		}
 	}
+	for k, r := range s.risen {
+		if s.clock-r.At > copies {
+			delete(s.risen, k)
+		}
+	}
 	if bare > s.Bounds.Topics {
 		s.forgetTopics(bare - s.Bounds.Topics/2)
 	}
@@ -405,6 +439,12 @@
 	S      seat
 }
 
+type riseRow struct {
+	_ struct{} `cbor:",toarray"`
+	K riseKey
+	R rise
+}
+
 // Save writes the whole state: equal states give equal bytes.
 func (s *State) Save() ([]byte, error) {
 	buf := bytes.NewBuffer(make([]byte, 0, s.bytes+s.bytes/8+len(s.marks)*48+1024))
@@ -443,6 +483,16 @@
 			}
 		}
 	}
+	rises := make([]riseRow, 0, len(s.risen))
+	for k, r := range s.risen {
+		rises = append(rises, riseRow{K: k, R: r})
+	}
+	slices.SortFunc(rises, func(a, b riseRow) int {
+		return cmp.Or(cmp.Compare(a.K.Topic, b.K.Topic), cmp.Compare(a.K.Client, b.K.Client), cmp.Compare(a.K.Edge, b.K.Edge), cmp.Compare(a.K.Life, b.K.Life))
+	})
+	if err := enc.Encode(rises); err != nil {
+		return nil, err
+	}
 	return buf.Bytes(), nil
 }
 
@@ -482,6 +532,13 @@
 		}
 		n.seats[r.Topic][r.Client] = r.S
 	}
+	var rises []riseRow
+	if err := dec.Decode(&rises); err != nil && err != io.EOF { // older ones have none
+		return fmt.Errorf("snapshot: seats given up: %v", err)
+	}
+	for _, r := range rises {
+		n.risen[r.K] = r.R
+	}
 	*s = *n
 	return nil
 }
--- a/internal/tale/tale_test.go
+++ b/internal/tale/tale_test.go
@@ -27,7 +27,7 @@
 			t.Fatal(err)
 		}
 		id := accord.ID{Origin: string(c.Client), Seq: uint64(c.Seq)}
-		if c.Verb != Publish {
+		if c.Verb != Publish && c.Seq == 0 {
 			id = accord.ID{Origin: "edge", Seq: uint64(p.slot)*100 + uint64(i)}
 		}
 		v.Reqs = append(v.Reqs, accord.Request{ID: id, Data: b})
@@ -109,6 +109,18 @@
 	if p.Count("t") != 1 {
 		t.Fatalf("%d seated, want 1: the life of e1 has ended", p.Count("t"))
 	}
+	// copies that come late: of what was given up, of a seat before, of giving that up
+	p.run(t, 4, sit(Sit, "c", "e2", 1, 5), sit(Rise, "c", "e2", 1, 5))
+	p.run(t, 5, sit(Sit, "c", "e2", 1, 5))
+	if p.Count("t") != 1 {
+		t.Fatalf("%d seated, want 1: a late copy seated one that had left", p.Count("t"))
+	}
+	p.run(t, 6, sit(Sit, "c", "e2", 1, 7))
+	p.run(t, 7, sit(Sit, "c", "e2", 1, 6), sit(Rise, "c", "e2", 1, 6))
+	if p.Count("t") != 2 {
+		t.Fatalf("%d seated, want 2: late copies unseated one that had come again", p.Count("t"))
+	}
+	p.run(t, 8, sit(Rise, "c", "e2", 1, 7))
 	b1, err := p.Save()
 	if err != nil {
 		t.Fatal(err)
@@ -120,6 +132,17 @@
 	if b2, _ := q.Save(); string(b1) != string(b2) || q.Count("t") != 1 {
 		t.Fatal("a saved state did not come back the same")
 	}
+	late := &play{State: q, slot: p.slot}
+	if late.run(t, 9, sit(Sit, "c", "e2", 1, 7)); q.Count("t") != 1 {
+		t.Fatal("a late copy seated one that had left before the state was saved")
+	}
+	late.run(t, 9+copies+1)
+	if late.run(t, 9+copies+2); len(q.risen) != 0 {
+		t.Fatalf("%d seats given up long ago are remembered", len(q.risen))
+	}
+	if old, _ := q.Save(); New(small).Load(old[:len(old)-1]) != nil {
+		t.Fatal("a state saved before seats given up were kept is refused")
+	}
 	if q.Load(b1[:len(b1)/2]) == nil {
 		t.Fatal("half a snapshot was taken for a whole one")
 	}
--- a/internal/voice/calls.go
+++ b/internal/voice/calls.go
@@ -149,14 +149,15 @@
 }
 
 // seatCall tells the shard who sits where; the count of subscribers reads it.
-func (d *Daemon) seatCall(now unit.Millis, c *conn, t unit.Topic, v tale.Verb) {
+func (d *Daemon) seatCall(now unit.Millis, s *sub, v tale.Verb) {
 	if len(d.norm0().Shards) == 0 {
 		return
 	}
+	c, t := s.c, s.t.name
 	c.seatSeq++
 	id := accord.ID{Origin: string(d.self.Addr) + "#" + strconv.FormatUint(uint64(d.self.Life), 36) + "." + strconv.FormatUint(c.id, 36), Seq: c.seatSeq}
 	d.call(now, &call{topic: t, end: now + 10000}, id,
-		tale.Command{Verb: v, Topic: t, Client: c.client, Edge: d.self.Addr, Life: d.self.Life, Conn: c.id})
+		tale.Command{Verb: v, Topic: t, Client: c.client, Edge: d.self.Addr, Life: d.self.Life, Conn: s.seat})
 }
 
 // outcome takes what the decided order says of a call.
--- a/internal/voice/calls_test.go
+++ b/internal/voice/calls_test.go
@@ -1,12 +1,17 @@
 package voice
 
 import (
+	"cmp"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/lane"
 	"oxbowdeck/internal/rule"
@@ -163,6 +168,20 @@
 	if n := len(d.topics["a.x"].subs); n != 1 || len(d.reqs) != 0 {
 		t.Fatalf("%d subscriptions, %d asked for, of one connection that is left", n, len(d.reqs))
 	}
+	// what is given up names the seat that was taken, and a new one has a higher number
+	d.take(two, word{verb: wUnsub, topic: "a.x"})
+	d.take(two, word{verb: wSubscribe, topic: "a.x"})
+	d.joined(trace.Joined{Req: d.reqSeq, Topic: "a.x", End: 9})
+	var seats []tale.Command
+	for _, x := range slices.SortedFunc(maps.Values(d.calls), func(a, b *call) int { return cmp.Compare(a.order, b.order) }) {
+		var c tale.Command
+		if cbor.Unmarshal(x.req.Data, &c) == nil {
+			seats = append(seats, c)
+		}
+	}
+	if len(seats) != 3 || seats[1].Verb != tale.Rise || seats[1].Conn != seats[0].Conn || seats[2].Verb != tale.Sit || seats[2].Conn <= seats[1].Conn {
+		t.Fatalf("%+v", seats)
+	}
 }
 
 // TestClientsThatCostTooMuch: one that does not read is cut off at its bound and
--- a/internal/voice/edge.go
+++ b/internal/voice/edge.go
@@ -46,6 +46,7 @@
 	pingAt  unit.Millis
 	home    home.Tie // to the store that brings the news
 	reqSeq  uint64
+	seats   uint64 // seats asked for
 	leaving bool
 	sweepAt unit.Millis
 	kin     *kin.Watch
@@ -325,7 +326,7 @@
 	for _, t := range d.topics {
 		for _, s := range t.subs {
 			if s.active {
-				d.seatCall(now, s.c, t.name, tale.Sit)
+				d.seatCall(now, s, tale.Sit)
 			}
 		}
 	}
--- a/internal/voice/subs.go
+++ b/internal/voice/subs.go
@@ -29,6 +29,7 @@
 	cursor string
 	at     unit.Millis
 	keeps  bool
+	seat   uint64 // its number in the decided order
 }
 
 type census struct {
@@ -102,7 +103,7 @@
 	delete(d.reqs, s.req)
 	s.c.subs--
 	if s.active {
-		d.seatCall(unit.Steady(), s.c, t.name, tale.Rise)
+		d.seatCall(unit.Steady(), s, tale.Rise)
 	}
 	if len(t.subs) == 0 {
 		delete(d.topics, t.name)
@@ -134,6 +135,8 @@
 		return
 	}
 	s.active = true
+	d.seats++
+	s.seat = d.seats
 	cur := s.cursor
 	if s.has {
 		s.last = s.from
@@ -148,7 +151,7 @@
 	if j.End > s.t.last {
 		s.t.last = j.End
 	}
-	d.seatCall(unit.Steady(), s.c, j.Topic, tale.Sit)
+	d.seatCall(unit.Steady(), s, tale.Sit)
 }
 
 func (d *Daemon) resume(t *topic, j trace.Joined) {
