--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -49,17 +49,20 @@
 	addr    string
 	timeout time.Duration // of the route
 	dial    time.Duration
-	by      time.Time // not sent later: whoever leads next may think it is over
+	late    unit.Millis // not sent later than that: whoever leads next may think it is over
 }
 
 // Go sends a delivery on a goroutine of its own.
-func Go(a *Attempt, p *Pool, done func(Result)) { go func() { done(a.run(p)) }() }
+func Go(a *Attempt, p *Pool, done func(Result)) {
+	by := time.Now().Add(a.late.Span())
+	go func() { done(a.run(p, by)) }()
+}
 
 // run sends a delivery and reads the answer. It did not run as long as not a byte
 // of it was written; from then on only a whole answer that names it says what came
 // of it. A connection that gave no such answer is reset, so that no bytes of the
 // question that are still on their way arrive later.
-func (a *Attempt) run(p *Pool) Result {
+func (a *Attempt) run(p *Pool, by time.Time) Result {
 	body, err := pack.Open(a.msg.Packed, a.msg.Body)
 	if err != nil {
 		return Result{outcome: queue.NotRun, kind: answered, err: unit.Err("unpack", a.msg.ID, err)}
@@ -71,9 +74,9 @@
 			return Result{outcome: queue.NotRun, kind: silent, err: err}
 		}
 		now := time.Now()
-		if now.After(a.by) {
+		if now.After(by) {
 			l.c.Close()
-			return Result{outcome: queue.NotRun, kind: refused, err: unit.Errf("send", a.addr, "%s too late", now.Sub(a.by))}
+			return Result{outcome: queue.NotRun, kind: refused, err: unit.Errf("send", a.addr, "%s too late", now.Sub(by))}
 		}
 		// the answer may still be on its way when the worker's time is over
 		until = now.Add(a.timeout + 60*time.Millisecond)
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -65,13 +65,15 @@
 
 func attempt(id, addr string) *Attempt {
 	return &Attempt{msg: &queue.Message{ID: id, Method: "POST", Host: "h", Path: "/x", Body: []byte("body")}, addr: addr,
-		timeout: 150 * time.Millisecond, dial: time.Second, by: time.Now().Add(time.Second)}
+		timeout: 150 * time.Millisecond, dial: time.Second}
 }
 
 func ok(id, more string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s-%s\r\nX-Server-Load: 2,1,6\r\n%sContent-Length: 2\r\n\r\nok", id, id, more)
 }
 
+func soon() time.Time { return time.Now().Add(time.Second) }
+
 // TestAttempts: what each kind of answer is taken for, whether the run may go on
 // without it, and that a connection is used again only after a whole answer to what
 // was asked.
@@ -121,7 +123,7 @@
 		{"not HTTP", plain("what?\r\n\r\n"), queue.Lost, silent, 0, true},
 	} {
 		var p Pool
-		r := attempt("m1", scripted(t, c.script)).run(&p)
+		r := attempt("m1", scripted(t, c.script)).run(&p, soon())
 		if r.outcome != c.want || r.kind != c.kind || len(p.idle) != c.idle || r.left > 40*time.Millisecond != c.runs {
 			t.Errorf("%s: %s, kind %d, %d idle, runs on for %s (%v); want %s, %d, %d, %v", c.what, r.outcome, r.kind, len(p.idle), r.left, r.err, c.want, c.kind, c.idle, c.runs)
 		}
@@ -143,14 +145,12 @@
 // TestWritten: an attempt did not run as long as not a byte of it was written, and
 // goes on over the next connection; from then on it may have run.
 func TestWritten(t *testing.T) {
-	if r := attempt("m1", "127.0.0.1:1").run(&Pool{}); r.outcome != queue.NotRun || r.kind != silent {
+	if r := attempt("m1", "127.0.0.1:1").run(&Pool{}, soon()); r.outcome != queue.NotRun || r.kind != silent {
 		t.Errorf("refused connection: %s", r.outcome)
 	}
 	asked := 0
 	addr := scripted(t, func(n, _ int, id string) string { asked = n; return ok(id, "") })
-	late := attempt("m1", addr)
-	late.by = time.Now().Add(-time.Millisecond)
-	if r := late.run(&Pool{}); r.outcome != queue.NotRun || asked != 0 {
+	if r := attempt("m1", addr).run(&Pool{}, time.Now()); r.outcome != queue.NotRun || asked != 0 {
 		t.Errorf("past its time: %s, asked %d times", r.outcome, asked)
 	}
 	for n, want := range []queue.Outcome{queue.Done, queue.Lost} {
@@ -161,7 +161,7 @@
 		rest.c = once{rest.c.(*net.TCPConn), n}
 		var p Pool
 		p.put(rest, time.Second)
-		r := attempt("m1", addr).run(&p)
+		r := attempt("m1", addr).run(&p, soon())
 		if r.outcome != want || (r.left > 0) != (n > 0) {
 			t.Errorf("reset after %d bytes: %s, runs on for %s; want %s", n, r.outcome, r.left, want)
 		}
@@ -185,17 +185,17 @@
 	})
 	var p Pool
 	defer p.drop()
-	if r := attempt("m1", addr).run(&p); r.outcome != queue.Failed || len(p.idle) != 1 {
+	if r := attempt("m1", addr).run(&p, soon()); r.outcome != queue.Failed || len(p.idle) != 1 {
 		t.Fatalf("first: %s", r.outcome)
 	}
-	if r := attempt("m2", addr).run(&p); r.outcome != queue.Done || conns != 1 {
+	if r := attempt("m2", addr).run(&p, soon()); r.outcome != queue.Done || conns != 1 {
 		t.Fatalf("another message: %s over connection %d", r.outcome, conns)
 	}
-	if r := attempt("m1", addr).run(&p); r.outcome != queue.Done || conns != 2 {
+	if r := attempt("m1", addr).run(&p, soon()); r.outcome != queue.Done || conns != 2 {
 		t.Fatalf("the same message again: %s over connection %d", r.outcome, conns)
 	}
 	p.idle[0].open = make([]string, mostOpen+1)
-	if r := attempt("m3", addr).run(&p); r.outcome != queue.Done || len(p.idle) != 0 {
+	if r := attempt("m3", addr).run(&p, soon()); r.outcome != queue.Done || len(p.idle) != 0 {
 		t.Fatalf("a connection that carried %d messages that failed is kept", mostOpen+1)
 	}
 }
@@ -219,12 +219,12 @@
 			}
 		})
 		var p Pool
-		if r := attempt("m1", addr).run(&p); r.outcome != queue.Done || len(p.idle) != 1 {
+		if r := attempt("m1", addr).run(&p, soon()); r.outcome != queue.Done || len(p.idle) != 1 {
 			t.Fatal(r.outcome)
 		}
 		rested <- true
 		time.Sleep(20 * time.Millisecond)
-		if r := attempt("m2", addr).run(&p); r.outcome != queue.Done || r.seal != "s-m2" || conns != 2 {
+		if r := attempt("m2", addr).run(&p, soon()); r.outcome != queue.Done || r.seal != "s-m2" || conns != 2 {
 			t.Errorf("after %q: %s, %d connections (%v)", after, r.outcome, conns, r.err)
 		}
 		p.drop()
@@ -239,7 +239,7 @@
 		_, err := io.Copy(io.Discard, c)
 		end <- err
 	})
-	attempt("m1", addr).run(&Pool{})
+	attempt("m1", addr).run(&Pool{}, soon())
 	if err := <-end; !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the worker saw %v", err)
 	}
@@ -254,7 +254,7 @@
 	}
 	addr := scripted(t, func(_, _ int, id string) string { return ok(id, "Keep-Alive: timeout=0\r\n") })
 	var p Pool
-	if attempt("m1", addr).run(&p); p.take(time.Now(), "m2") != nil {
+	if attempt("m1", addr).run(&p, soon()); p.take(time.Now(), "m2") != nil {
 		t.Error("a connection that is not kept was used again")
 	}
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"sort"
-	"time"
 
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/lane"
@@ -162,8 +161,7 @@
 	}
 	b.running = true
 	msg := e.Row.Msg
-	a := &Attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial,
-		by: time.Now().Add(late.Span())}
+	a := &Attempt{msg: &msg, addr: b.w.Addr, timeout: b.timeout.Span(), dial: s.host.B.Dial, late: late}
 	if !b.w.fixed {
 		a.worker = b.w.ID
 	}
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -185,7 +185,15 @@
 		Run: func(a *Attempt, _ *Pool, done func(Result)) {
 			wait := 1 + n.rng.Intn(3)
 			if n.rng.Intn(20) == 0 {
-				wait += n.rng.Intn(300) // a connection that is made slowly
+				wait += n.rng.Intn(600) // a connection that is made slowly
+			}
+			if wait > int(a.late) { // not sent: only that is told
+				n.in(a.late, func() {
+					if n.up && n.life == life {
+						done(Result{outcome: queue.NotRun, kind: refused})
+					}
+				})
+				return
 			}
 			n.in(unit.Millis(wait), func() { n.work(n, life, a, done) })
 		},
