An answer of a worker is read up to a bound, its head as well

Cause: only the body was bounded; a head without an end was read until the attempt's time was over, whatever it took. Change: a connection gives at most twice the largest body for one attempt. Shown with the bound taken out: TestAttempts ("a head without an end: done").

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -39,7 +39,8 @@
 	err     error
 }
 
-// mostAnswer is the largest body of an answer that is read.
+// mostAnswer is the largest body of an answer that is read; with its head, and what
+// comes before it, it is at most twice that.
 const mostAnswer = 256 << 10
 
 // Attempt is a delivery to be sent.
@@ -93,6 +94,7 @@
 			return Result{outcome: queue.NotRun, kind: refused, err: err}
 		}
 	}
+	l.in.left = 2 * mostAnswer
 	for strange := false; ; {
 		res, err := http.ReadResponse(l.r, &http.Request{Method: a.msg.Method})
 		if err != nil {
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -106,6 +106,7 @@
 			return strings.ReplaceAll(sealed, "ID", id) + "Connection: close\r\nContent-Length: 9\r\n\r\nhalf"
 		}, queue.Lost, silent, 0, false},
 		{"chunks that break off", plain(sealed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n"), queue.Lost, silent, 0, true},
+		{"a head without an end", plain(sealed + "X: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 0\r\n\r\n"), queue.Lost, silent, 0, true},
 		{"done, of no message", nameless(200, "X-Server-Seal: s\r\n"), queue.Lost, silent, 0, true},
 		{"full, of no message", nameless(503, "X-Not-Executed: 1\r\n"), queue.Lost, silent, 0, true},
 		{"another life, of no message", nameless(421, ""), queue.Lost, silent, 0, true},
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -114,6 +115,7 @@
 // line is a connection to a worker.
 type line struct {
 	c     net.Conn
+	in    *limited
 	r     *bufio.Reader
 	since time.Time
 	till  time.Time // the worker keeps it for so long
@@ -216,9 +218,27 @@
 		return nil, unit.Err("dial", addr, err)
 	}
 	lane.Tune(c, silence)
-	return &line{c: c, r: bufio.NewReaderSize(c, 2<<10), since: time.Now()}, nil
+	in := &limited{c: c}
+	return &line{c: c, in: in, r: bufio.NewReaderSize(in, 2<<10), since: time.Now()}, nil
 }
 
+// limited reads a connection up to a bound.
+type limited struct {
+	c    net.Conn
+	left int
+}
+
+func (l *limited) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errLong
+	}
+	n, err := l.c.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
+var errLong = errors.New("the answer is too long")
+
 // keepOf reads how long a worker keeps a connection that rests.
 func keepOf(header string) time.Duration {
 	for _, part := range strings.Split(header, ",") {
