--- a/cmd/norm/tools.go
+++ b/cmd/norm/tools.go
@@ -120,6 +120,14 @@
 			}
 			return show(cmd, asJSON, s, func(w io.Writer) {
 				fmt.Fprintf(w, "%s: release %d; control leader %s, epoch %d, decided to %d, voters %v\n", s.Node, s.Release, s.Leader, s.Epoch, s.Commit, s.Voters)
+				fmt.Fprintln(w, contact(s))
+				for _, m := range s.Members {
+					role := "learner"
+					if m.Voter {
+						role = "voter"
+					}
+					fmt.Fprintf(w, "%-7s %-24s %d behind, heard %d ms ago\n", role, m.Addr, m.Behind, m.HeardMs)
+				}
 				for i, sh := range s.Shards {
 					fmt.Fprintf(w, "shard %d: voters %s; in force %s by epoch %d; following %s\n", i, names(sh.Voters), names(sh.Seats), sh.Epoch.Round(), names(sh.Learners))
 				}
@@ -136,6 +144,19 @@
 	return c
 }
 
+// contact says how far what a control process shows can be relied on.
+func contact(s edict.Status) string {
+	switch {
+	case s.ContactMs < 0:
+		return "it has not been in touch with a majority in this life: all of this may be old"
+	case s.ContactMs > s.LeaseMs:
+		return fmt.Sprintf("last in touch with a majority %d ms ago, its lease of %d ms is over: all of this may be old, and it answers nothing from it", s.ContactMs, s.LeaseMs)
+	case len(s.Members) == 0:
+		return fmt.Sprintf("in touch with a majority %d ms ago, lease %d ms; it does not lead and can't tell how far the others are", s.ContactMs, s.LeaseMs)
+	}
+	return fmt.Sprintf("it leads, in touch with a majority %d ms ago, lease %d ms", s.ContactMs, s.LeaseMs)
+}
+
 func names(ms []accord.Member) string {
 	var out []string
 	for _, m := range ms {
--- a/internal/ground/settings.cue
+++ b/internal/ground/settings.cue
@@ -64,6 +64,9 @@
 	silent_ms?:         int & >=300 & <=600000
 	replace_ms?:        int & >=300 & <=3600000
 	norm_replace_ms?:   int & >=300 & <=3600000
+	norm_lease_ms?:     int & >=300 & <=3000
+	norm_quorum_ms?:    int & >=500 & <=60000
+	quorum_ms?:         int & >=500 & <=60000
 	feed_kb?:           int & >=1 & <=16384
 	snapshot_kb?:       int & >=64 & <=1048576
 	log_tail_kb?:       int & >=64 & <=1048576
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -126,6 +127,7 @@
 
 	chosen  map[unit.Slot][]byte
 	highs   []high // how far some replica had decided, and since when
+	inForce []accord.Member
 	digests map[unit.Slot][]byte
 	acked   map[key]unit.Pos
 	refused map[key]bool
@@ -428,11 +430,41 @@
 	if i > 0 && w.highs[i-1].slot > n.core.Commit() {
 		w.fail("node %s stands at %d and says it was in touch %d ms ago: %d had been decided", n.member.Node, n.core.Commit(), age, w.highs[i-1].slot)
 	}
+	if n.core.Role() == accord.Leader && age < 300 && !accord.Same(n.core.Seats(), w.inForce) {
+		old := w.inForce
+		w.inForce = append([]accord.Member(nil), n.core.Seats()...)
+		with := append([]accord.Member(nil), w.inForce...)
+		for _, m := range old { // who was replaced and lives has what it accepted until the others have it
+			if x := w.find(m.Node); !slices.Contains(with, m) && x.up && x.member.Num == m.Num {
+				with = append(with, m)
+			}
+		}
+		if len(old) > 0 {
+			w.copies(n, with, min(len(old), len(w.inForce))/2+1)
+		}
+	}
 	if q := w.plan.Conf.Quorum; q > 0 && n.core.Role() == accord.Leader && age > q+100 {
 		w.fail("node %s leads, and heard no majority for %d ms", n.member.Node, age)
 	}
 }
 
+// copies checks, when a membership came into force, that all that is decided is on
+// enough of its members' disks to outlast what the group is to bear.
+func (w *World) copies(lead *node, seats []accord.Member, least int) {
+	for s := unit.Slot(1); s <= lead.core.Commit(); s++ {
+		n := 0
+		for _, m := range seats {
+			if x := w.find(m.Node); x.member.Num == m.Num && x.disk.has(s, w.chosen[s]) {
+				n++
+			}
+		}
+		if n < least {
+			w.fail("instance %d of %d is on %d disks of the membership in force, %v, wanted %d", s, lead.core.Commit(), n, seats, least)
+			return
+		}
+	}
+}
+
 // checkSend checks the bounds of batches and window on what goes out.
 func (w *World) checkSend(n *node, m accord.Msg) {
 	if m.Kind != accord.Accept {
@@ -697,7 +729,7 @@
 			w.relearn()
 		})
 	case "swap": // it is gone for long, and an empty one comes at another address in its stead
-		if w.joins != "" || !accord.Holds(w.want, n.member.Node) || !w.calm() {
+		if w.joins != "" || !accord.Holds(w.want, n.member.Node) {
 			return
 		}
 		w.stop(n)
@@ -763,7 +795,7 @@
 // wanted until it is in force.
 func (w *World) reseat() {
 	for _, n := range w.nodes {
-		if n.up && n.core.Role() == accord.Leader && n.core.Settled() && accord.Same(n.core.Seats(), w.want) {
+		if n.up && n.core.Role() == accord.Leader && accord.Same(n.core.Seats(), w.want) {
 			w.plans(n)
 		}
 	}
@@ -792,7 +824,7 @@
 		return
 	}
 	for _, x := range w.nodes {
-		if len(w.want) < w.plan.Grow && x.up && !accord.Holds(w.want, x.member.Node) && lead.core.Level(x.member.Num) {
+		if len(w.want) < w.plan.Grow && x.up && lead.core.Settled() && !accord.Holds(w.want, x.member.Node) && lead.core.Level(x.member.Num) {
 			w.want = append(w.want, x.member)
 			return
 		}
--- a/internal/maze/maze_test.go
+++ b/internal/maze/maze_test.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// TestMembersOfFiveReplaced: the same at two losses at once.
+func TestMembersOfFiveReplaced(t *testing.T) {
+	seeds(t, 15, func(p Plan) Plan {
+		p.Seed += 7000
+		p.Voters, p.Troubles, p.Learners, p.Every = 5, append([]string{"slow"}, Moves...), 0, 250
+		return p
+	})
+}
+
 // TestGrowth: three founders grow to five voters, one at a time.
 func TestGrowth(t *testing.T) {
 	seeds(t, 10, func(p Plan) Plan {
--- a/internal/maze/strike.go
+++ b/internal/maze/strike.go
@@ -164,7 +164,7 @@
 		case p.ctl.Departed(now):
 			if l := f.leader(); l != nil && !accord.Holds(p.core.Seats(), m.addr) && accord.Same(l.proc.core.Seats(), p.core.Seats()) {
 				f.Departed++
-				f.copies(p, p.core.Seats(), "a member that may end")
+				f.copies(p, p.core.Seats(), f.plan.Losses+1, "a member that may end")
 			}
 			end(now)
 		case f.now >= until:
@@ -284,5 +284,5 @@
 	if !l.proc.core.Settled() {
 		f.fail("the membership %v is not settled", l.proc.core.Seats())
 	}
-	f.copies(l.proc, l.proc.core.Seats(), "at the end")
+	f.copies(l.proc, l.proc.core.Seats(), f.plan.Losses+1, "at the end")
 }
