--- a/internal/ingest/handle.go
+++ b/internal/ingest/handle.go
@@ -127,7 +127,7 @@
 // splitName reads a name back. One this system did not give may be in any group.
 func splitName(name string, shards int) (g unit.Group, id string, ok bool) {
 	a, b, found := strings.Cut(name, ".")
-	n, err := strconv.ParseUint(a, 36, 8)
+	n, err := strconv.ParseUint(a, 36, 32)
 	if !found || err != nil || int(n) >= shards || b == "" {
 		return 0, name, false
 	}
--- a/internal/unit/unit.go
+++ b/internal/unit/unit.go
@@ -19,7 +19,7 @@
 	Node   string // a process, by the internal address it answers on
 	Zone   string
 	Num    uint16 // a member of a group; given once, never given again
-	Group  uint8  // a shard's replica group
+	Group  uint32 // a shard's replica group
 	Slot   uint64 // a consensus instance
 	Ballot uint64 // the epoch of a group's leader: round<<16 | Num
 	Millis int64  // wall or steady time in milliseconds, by context
@@ -60,7 +60,7 @@
 	if !found {
 		return 0, 0, false
 	}
-	gn, err1 := strconv.ParseUint(a, 36, 8)
+	gn, err1 := strconv.ParseUint(a, 36, 32)
 	pn, err2 := strconv.ParseUint(b, 36, 64)
 	if err1 != nil || err2 != nil || pn > math.MaxInt64 || Cursor(Group(gn), Pos(pn)) != s {
 		return 0, 0, false
--- a/internal/vault/folder.go
+++ b/internal/vault/folder.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 
 	"github.com/syndtr/goleveldb/leveldb"
@@ -62,8 +63,7 @@
 }
 
 func openDir(dir string, o *opt.Options) (*tables, error) {
-	ro := o.GetReadOnly()
-	if _, err := os.Stat(dir); errors.Is(err, os.ErrNotExist) && !ro {
+	if _, err := os.Stat(dir); errors.Is(err, os.ErrNotExist) {
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			return nil, err
 		}
@@ -71,7 +71,7 @@
 			return nil, err
 		}
 	}
-	files, err := storage.OpenFile(dir, ro)
+	files, err := storage.OpenFile(dir, false)
 	if err != nil {
 		return nil, err
 	}
@@ -79,20 +79,97 @@
 }
 
 func openFiles(files *folder, o *opt.Options) (*tables, error) {
-	var err error
-	if !o.GetReadOnly() {
-		err = files.unborn()
+	if err := files.unborn(); err != nil {
+		files.Close()
+		return nil, err
 	}
+	return openAll(files, o)
+}
+
+func openAll(files storage.Storage, o *opt.Options) (*tables, error) {
+	db, err := leveldb.Open(files, o)
 	if err == nil {
-		var db *leveldb.DB
-		if db, err = leveldb.Open(files, o); err == nil {
+		if err = move(db); err == nil {
 			return &tables{db, files}, nil
 		}
+		db.Close()
 	}
 	files.Close()
 	return nil, err
 }
 
+// openCopy opens a folder for a tool: what it holds is read as the process would
+// read it, and what that writes stays in memory. (goleveldb's own way to open one
+// without writing fails where two journals were left.)
+func openCopy(dir string, o *opt.Options) (*tables, error) {
+	below, err := storage.OpenFile(dir, true)
+	if err != nil {
+		return nil, err
+	}
+	o.CompactionL0Trigger, o.WriteL0SlowdownTrigger, o.WriteL0PauseTrigger = 1<<20, 1<<20, 1<<20
+	return openAll(&overlay{Storage: storage.NewMemStorage(), below: below, gone: map[storage.FileDesc]bool{}}, o)
+}
+
+// overlay is a folder that is read, and files in memory over it.
+type overlay struct {
+	storage.Storage
+	below storage.Storage
+	mu    sync.Mutex
+	gone  map[storage.FileDesc]bool // made anew or removed: not read below
+}
+
+func (o *overlay) hide(fd storage.FileDesc) {
+	o.mu.Lock()
+	o.gone[fd] = true
+	o.mu.Unlock()
+}
+
+func (o *overlay) hidden(fd storage.FileDesc) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gone[fd]
+}
+
+func (o *overlay) Create(fd storage.FileDesc) (storage.Writer, error) {
+	o.hide(fd)
+	return o.Storage.Create(fd)
+}
+
+func (o *overlay) Open(fd storage.FileDesc) (storage.Reader, error) {
+	if o.hidden(fd) {
+		return o.Storage.Open(fd)
+	}
+	return o.below.Open(fd)
+}
+
+func (o *overlay) Remove(fd storage.FileDesc) error {
+	if o.hidden(fd) {
+		return o.Storage.Remove(fd)
+	}
+	o.hide(fd)
+	return nil
+}
+
+func (o *overlay) List(t storage.FileType) ([]storage.FileDesc, error) {
+	all, err := o.Storage.List(t)
+	below, err2 := o.below.List(t)
+	for _, fd := range below {
+		if !o.hidden(fd) {
+			all = append(all, fd)
+		}
+	}
+	return all, errors.Join(err, err2)
+}
+
+func (o *overlay) GetMeta() (storage.FileDesc, error) {
+	if fd, err := o.Storage.GetMeta(); err == nil {
+		return fd, nil
+	}
+	return o.below.GetMeta()
+}
+
+func (o *overlay) Close() error { return errors.Join(o.Storage.Close(), o.below.Close()) }
+
 // unborn clears what is left of tables whose making was cut short by a full disk
 // or a loss of power: no manifest is named, no journal was begun, so nothing was
 // ever told of them. Left there, it would be read as damage at each start.
--- a/internal/vault/layer_test.go
+++ b/internal/vault/layer_test.go
@@ -32,6 +32,7 @@
 	meta   storage.FileDesc
 	strict bool // a file's own sync does not keep its name
 	full   bool
+	fixed  bool          // manifests are not written
 	room   int           // bytes until it is full; 0: no bound
 	filled chan struct{} // closed when that room was taken
 	left   int           // calls until the power goes; 0: no bound
@@ -207,7 +208,7 @@
 func (w writer) Write(b []byte) (int, error) {
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
-	if ok := w.d.call(); !ok || w.d.full {
+	if ok := w.d.call(); !ok || w.d.full || w.d.fixed && w.fd.Type == storage.TypeManifest {
 		n := 0
 		if len(b) > 0 && ok {
 			n = w.d.rng.Intn(len(b)) // a piece of it got there
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"runtime"
@@ -95,7 +96,7 @@
 // waited for, until the context ends. Reading a closed one for the tools:
 // readOnly, which waits for nothing.
 func Open(ctx context.Context, dir string, readOnly bool) (*Vault, error) {
-	return openTuned(ctx, dir, options(readOnly), readOnly)
+	return openTuned(ctx, dir, options(readOnly))
 }
 
 // OpenBulk opens one that much is written to and soon dropped: its journals are
@@ -105,13 +106,13 @@
 	o := options(false)
 	o.WriteBuffer, o.CompactionTableSize = 4<<20, 8<<20
 	o.CompactionL0Trigger, o.WriteL0SlowdownTrigger, o.WriteL0PauseTrigger = 12, 32, 48
-	return openTuned(ctx, dir, o, false)
+	return openTuned(ctx, dir, o)
 }
 
-func openTuned(ctx context.Context, dir string, o *opt.Options, readOnly bool) (*Vault, error) {
+func openTuned(ctx context.Context, dir string, o *opt.Options) (*Vault, error) {
 	open := func() (*tables, error) { return openDir(dir, o) }
-	if readOnly {
-		db, err := open()
+	if o.ErrorIfMissing {
+		db, err := openCopy(dir, o)
 		if err != nil {
 			return nil, unit.Err("open", dir, err)
 		}
@@ -156,8 +157,10 @@
 		OpenFilesCacheCapacity: 16,
 		DisableSeeksCompaction: true,
 		Compression:            opt.NoCompression,
-		ReadOnly:               readOnly,
-		ErrorIfMissing:         readOnly,
+		// a large batch goes the way of the others: in a transaction of its own, one
+		// that the disk refuses at its end holds the tables' lock for good
+		DisableLargeBatchTransaction: true,
+		ErrorIfMissing:               readOnly,
 	}
 }
 
@@ -260,10 +263,21 @@
 	return old
 }
 
+// Keys: groupRow, the group, the kind of row and a number; or nameRow and a name.
+// Folders of before (old.go) had other first letters, and one byte for the group.
+const (
+	groupRow = 'G'
+	nameRow  = 'M'
+	keyHead  = 1 + 4 + 1
+)
+
 func key(g unit.Group, kind byte, s unit.Slot) []byte {
-	return binary.BigEndian.AppendUint64([]byte{'g', byte(g), kind}, uint64(s))
+	k := binary.BigEndian.AppendUint32([]byte{groupRow}, uint32(g))
+	return binary.BigEndian.AppendUint64(append(k, kind), uint64(s))
 }
 
+func named(name string) string { return string(nameRow) + name }
+
 func (v *Vault) work() {
 	defer close(v.done)
 	var snaps []job // being written, a row a turn
@@ -556,7 +570,7 @@
 		if err := cbor.Unmarshal(it.Value(), &row); err != nil {
 			return boot, nil, unit.Errf("read entry", "disk", "%w: %v", ErrDamaged, err)
 		}
-		slot := unit.Slot(binary.BigEndian.Uint64(it.Key()[3:]))
+		slot := unit.Slot(binary.BigEndian.Uint64(it.Key()[keyHead:]))
 		boot.Entries = append(boot.Entries, accord.Entry{Slot: slot, Ballot: row.Ballot, Val: row.Val})
 	}
 	if err := it.Error(); err != nil {
@@ -582,7 +596,7 @@
 		if err != nil {
 			return unit.Err("encode "+name, "disk", err)
 		}
-		rows["m"+name] = row
+		rows[named(name)] = row
 	}
 	synced := make(chan struct{})
 	v.add(job{rows: rows, then: func() { close(synced) }})
@@ -618,10 +632,10 @@
 		unit.Log("encode-failed", "row", name, "err", err)
 		return
 	}
-	j := job{rows: map[string][]byte{"m" + name: b}, keep: true, then: func() {}}
+	j := job{rows: map[string][]byte{named(name): b}, keep: true, then: func() {}}
 	v.mu.Lock()
 	for i := range v.jobs {
-		if _, same := v.jobs[i].rows["m"+name]; same && v.jobs[i].keep {
+		if _, same := v.jobs[i].rows[named(name)]; same && v.jobs[i].keep {
 			v.jobs[i] = j
 			v.mu.Unlock()
 			return
@@ -639,7 +653,7 @@
 		if v.db == nil {
 			return ErrBusy
 		}
-		found, err = v.get([]byte("m"+name), into)
+		found, err = v.get([]byte(named(name)), into)
 		return err
 	}
 	if v.offline {
@@ -657,12 +671,12 @@
 	if v.db == nil {
 		return nil, ErrBusy
 	}
-	it := v.db.NewIterator(util.BytesPrefix([]byte{'g'}), &opt.ReadOptions{DontFillCache: true})
+	it := v.db.NewIterator(util.BytesPrefix([]byte{groupRow}), &opt.ReadOptions{DontFillCache: true})
 	defer it.Release()
 	for ok := it.First(); ok; {
-		g := unit.Group(it.Key()[1])
+		g := unit.Group(binary.BigEndian.Uint32(it.Key()[1:]))
 		out = append(out, g)
-		ok = g < 255 && it.Seek([]byte{'g', byte(g) + 1})
+		ok = g < math.MaxUint32 && it.Seek(key(g+1, 0, 0))
 	}
 	return out, unit.Err("list groups", "disk", it.Error())
 }
--- a/internal/vault/wait_test.go
+++ b/internal/vault/wait_test.go
@@ -143,7 +143,7 @@
 	failed := make(chan error, 1)
 	v.Failed = func(err error) { failed <- err }
 	l.fill(true)
-	v.Save(0, []accord.Record{entry(1, 5, string(make([]byte, 1000)))}, func() { t.Error("told of a write that was refused") })
+	v.Save(0, []accord.Record{entry(2, 5, string(make([]byte, 1000)))}, func() { t.Error("told of a write that was refused") })
 	time.Sleep(100 * time.Millisecond)
 	for i := range 1000 {
 		v.Keep("news", i)
@@ -160,3 +160,18 @@
 		t.Fatalf("closing took %v, %d failures", time.Since(began), len(failed))
 	}
 }
+
+// TestLargeBatchRefused: all that piled up while a disk refused goes down as one
+// batch; where the end of that is refused too, the tables can be opened anew.
+func TestLargeBatchRefused(t *testing.T) {
+	l := newLayer(4)
+	v := l.open(t)
+	save(t, v, 0, entry(1, 5, "a"))
+	l.fill(true)
+	done := make(chan error, 1)
+	v.Save(0, []accord.Record{entry(2, 5, string(make([]byte, 3<<20)))}, func() { done <- nil })
+	time.Sleep(100 * time.Millisecond)
+	l.fill(false)
+	soon(t, "a batch of 3 MB", done)
+	v.Close()
+}
