Explorer of the engine's interleavings in small scope, with states hashed and counted

The simulated network draws schedules from seeds; nothing tried all of them. internal/explore runs the real accord core (through its public API; copied and digested by reflection, so new fields are taken along) in worlds of three voters and a newcomer: every order of arrival, loss and repeats, disk completions, deaths, power loss, one lost disk, one change of membership, epoch changes, all within budgets. Whole spaces where they fit, breadth first or walks up to a fixed count of states elsewhere; EXPLORE_STATES sets that count. From every 500th state the world goes on fairly to an end in which everything must be decided once.

TestRulesBite takes safeguards away one by one in the adapter; each is missed, by the rule it should be.

--- /dev/null
+++ b/internal/explore/explore_test.go
@@ -0,0 +1,204 @@
+package explore
+
+import (
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// small is a world of three voters. EXPLORE_STATES sets how many states of each
+// plan are visited.
+func small(name string, states int, f func(*Plan)) Plan {
+	p := Plan{Name: name, Voters: 3, States: states, EndEvery: 500,
+		Conf: accord.Conf{Wnd: 2, WndBytes: 1000, Bsz: 1, Delta: 10, Beat: 50, Patience: 200, Stagger: 50,
+			OpenBytes: 10000, FeedBytes: 1000, Impatience: 30, Nudge: 1 << 24}}
+	if n, err := strconv.Atoi(os.Getenv("EXPLORE_STATES")); err == nil {
+		p.States = n
+	}
+	f(&p)
+	return p
+}
+
+// quiet are the kinds that only bring on what other messages also do.
+var quiet = []accord.Kind{accord.Level, accord.Fetch, accord.Nack}
+
+func swap(p *Plan) { p.Others, p.Swap, p.Most[Reseat], p.Most[Beat] = 1, true, 1, 1 }
+
+func TestEveryInterleaving(t *testing.T) {
+	for _, c := range []struct {
+		p                  Plan
+		whole, led, change bool // must be: all visited; new leaders seen; changes seen
+	}{
+		{small("two commands, slow disks", 100000, func(p *Plan) { p.Commands, p.Mute = 2, quiet }), true, false, false},
+		{small("one epoch change", 100000, func(p *Plan) { p.Commands, p.Mute, p.Instant, p.Most[Doubt] = 1, quiet, true, 1 }), true, true, false},
+		{small("two epoch changes and a kill", 100000, func(p *Plan) { p.Commands, p.Instant, p.Most[Doubt], p.Most[Kill] = 2, true, 2, 1 }), false, true, false},
+		{small("power lost", 100000, func(p *Plan) { p.Commands, p.Most[Doubt], p.Most[Power] = 2, 1, 1 }), false, true, false},
+		{small("power lost twice, walks", 60000, func(p *Plan) { p.Commands, p.Most[Doubt], p.Most[Power], p.Walks = 2, 3, 2, 1 }), false, true, false},
+		{small("hand-over", 100000, func(p *Plan) { p.Commands, p.Instant, p.Most[Drain], p.Most[Doubt] = 2, true, 1, 1 }), false, true, false},
+		{small("a member replaced", 100000, func(p *Plan) { swap(p); p.Commands, p.Instant, p.Most[Doubt] = 1, true, 1 }), false, true, true},
+		{small("a member replaced, walks", 60000, func(p *Plan) {
+			swap(p)
+			p.Commands, p.Instant, p.Most[Doubt], p.Most[Reseat], p.Walks = 2, true, 2, 2, 1
+		}), false, true, true},
+		{small("a disk lost", 100000, func(p *Plan) {
+			p.Commands, p.Instant, p.Most[Wipe], p.Most[Reseat], p.Most[Beat], p.Most[Doubt] = 1, true, 1, 1, 2, 1
+		}), false, true, true},
+		{small("a disk lost, walks", 60000, func(p *Plan) {
+			p.Commands, p.Instant, p.Most[Wipe], p.Most[Reseat], p.Most[Beat], p.Most[Doubt], p.Walks = 2, true, 1, 1, 2, 2, 1
+		}), false, false, true},
+		{small("a disk lost while a member is replaced", 100000, func(p *Plan) {
+			swap(p)
+			p.Commands, p.Instant, p.Most[Doubt], p.Most[Wipe], p.Bold = 1, true, 1, 1, true
+		}), false, true, true},
+		{small("snapshots while a member is replaced", 100000, func(p *Plan) {
+			swap(p)
+			p.Commands, p.Most[Doubt], p.Most[Power], p.Most[Keep] = 2, 1, 1, 1
+		}), false, false, true},
+		{small("snapshots while a member is replaced, walks", 60000, func(p *Plan) {
+			swap(p)
+			p.Commands, p.Most[Doubt], p.Most[Power], p.Most[Keep], p.Walks = 2, 1, 1, 1, 2
+		}), false, false, true},
+	} {
+		t.Run(c.p.Name, func(t *testing.T) {
+			t.Parallel()
+			r := Run(c.p)
+			t.Log(r)
+			if r.Fault != nil {
+				t.Fatal(r.Fault)
+			}
+			if c.whole && !r.Whole || c.led && r.Led == 0 || c.change && r.Changed == 0 || c.p.Commands > 0 && r.Done == 0 || r.Ends == 0 {
+				t.Errorf("did not see what it is for")
+			}
+		})
+	}
+}
+
+// TestRulesBite takes one safeguard after the other away; each must be missed.
+func TestRulesBite(t *testing.T) {
+	change := func(p *Plan) {
+		swap(p)
+		p.Commands, p.Instant = 1, true
+	}
+	for _, c := range []struct {
+		rule string
+		p    Plan
+	}{
+		{"durable answers", small("answers before the sync", 50000, func(p *Plan) { p.Commands, p.Hasty = 1, true })},
+		{"found by every later leader", small("a promise without what was accepted", 100000, func(p *Plan) {
+			p.Commands, p.Mute, p.Instant, p.Most[Doubt], p.EndEvery = 2, quiet, true, 1, 0
+			p.Tamper = func(m *accord.Msg) bool {
+				if m.Kind == accord.Promise {
+					m.Entries = nil
+				}
+				return true
+			}
+		})},
+		{"lost disk", small("a lost disk votes under its old number", 50000, func(p *Plan) {
+			p.Commands, p.Instant, p.Most[Wipe], p.OldNumber = 1, true, 1, true
+		})},
+		{"window", small("proposals past the window", 50000, func(p *Plan) {
+			p.Commands = 2
+			p.Tamper = func(m *accord.Msg) bool {
+				if m.Kind == accord.Accept {
+					m.Slot += 2
+				}
+				return true
+			}
+		})},
+		{"one change at a time", small("two members at once", 50000, func(p *Plan) {
+			change(p)
+			p.Asked = func(s []accord.Member) []accord.Member {
+				return append(s[:1:1], accord.Member{Num: 8, Node: "h"}, s[2])
+			}
+		})},
+		{"liveness", small("promises are kept back", 50000, func(p *Plan) {
+			n := 0
+			p.Commands, p.Instant, p.Most[Doubt], p.EndEvery = 1, true, 1, 10
+			p.Tamper = func(m *accord.Msg) bool {
+				if m.Kind == accord.Promise {
+					n++
+				}
+				return m.Kind != accord.Promise || n <= 2 // but for the first leader's
+			}
+		})},
+	} {
+		t.Run(c.p.Name, func(t *testing.T) {
+			t.Parallel()
+			r := Run(c.p)
+			t.Log(r)
+			if r.Fault == nil || !strings.HasPrefix(r.Fault.Rule, c.rule+":") {
+				t.Fatalf("%q is not missed: %v", c.rule, r.Fault)
+			}
+			t.Log(r.Fault)
+			if c.rule == "liveness" {
+				return
+			}
+			if got, err := Walk(c.p, r.Fault.Path); err != nil || got != r.Fault.Rule {
+				t.Errorf("walked again: %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// TestWrongValuesAreSeen: majorities under two epochs that accept different
+// values, one that accepts what nobody asked for, and a decision without any.
+func TestWrongValuesAreSeen(t *testing.T) {
+	p := small("", 0, func(p *Plan) { p.Commands = 1 })
+	e, w, _ := start(&p)
+	told := func(list ...vote) (got string) {
+		h := w.hist
+		for _, v := range list {
+			if got != "" {
+				t.Fatal("seen too early")
+			}
+			h, got = e.judge(h, event{kind: votes, slot: v.Slot, ballot: v.Ballot, num: v.Num, val: v.Val})
+		}
+		return got
+	}
+	one, two := unit.MakeBallot(1, 1), unit.MakeBallot(2, 2)
+	raw, err := cbor.Marshal(accord.Value{Reqs: e.orders})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := told(vote{1, one, 1, ""}, vote{1, two, 2, "other"}, vote{1, one, 3, ""}, vote{1, two, 3, "other"}); !strings.HasPrefix(got, "agreement:") {
+		t.Errorf("two values are chosen, the rule says %q", got)
+	}
+	if got := told(vote{1, one, 1, string(raw)}, vote{1, one, 2, string(raw)}); !strings.HasPrefix(got, "validity:") {
+		t.Errorf("a command that no leader was given is chosen, the rule says %q", got)
+	}
+	if got := e.decides(w.hist, event{slot: 1}); !strings.HasPrefix(got, "agreement:") {
+		t.Errorf("decided without a majority, the rule says %q", got)
+	}
+}
+
+// TestTwinSharesNothing: whatever the engine's type holds, also fields that came
+// after this test, a twin equals it and shares no map, slice or pointer with it.
+func TestTwinSharesNothing(t *testing.T) {
+	c := &accord.Core{}
+	fill(reflect.ValueOf(c).Elem(), 0)
+	d := twin(reflect.ValueOf(c))
+	if a, b := canon(nil, reflect.ValueOf(c)), canon(nil, d); string(a) != string(b) {
+		t.Error("the twin differs")
+	}
+	shares(t, "Core", reflect.ValueOf(c).Elem(), d.Elem())
+	n := 0
+	empty := string(canon(nil, reflect.ValueOf(accord.Core{})))
+	for i := 0; i < d.Elem().NumField(); i++ {
+		one := reflect.New(d.Elem().Type()).Elem()
+		fill(settable(one.Field(i)), 0)
+		if string(canon(nil, one)) == empty {
+			t.Errorf("field %s does not show in the digest", one.Type().Field(i).Name)
+		}
+		n++
+	}
+	if n < 30 {
+		t.Errorf("%d fields tried", n)
+	}
+}
--- /dev/null
+++ b/internal/explore/replica.go
@@ -0,0 +1,146 @@
+package explore
+
+import (
+	"crypto/sha256"
+	"maps"
+	"reflect"
+	"slices"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+type digest [16]byte
+
+func sum(b []byte) (d digest) {
+	s := sha256.Sum256(b)
+	copy(d[:], s[:])
+	return d
+}
+
+// disk is what is synced. It is never changed, only replaced.
+type disk struct {
+	Promised unit.Ballot
+	Commit   unit.Slot
+	Entries  map[unit.Slot]accord.Entry
+	Snap     *snap
+}
+
+// snap is a snapshot; the state it would hold follows from its slot.
+type snap struct {
+	Slot  unit.Slot
+	Eras  []accord.Era
+	Clock unit.Millis
+}
+
+// write is what goes down under one sync.
+type write struct {
+	Recs  []accord.Record
+	Token uint64
+	Snap  *snap
+	Came  bool // the snapshot came from another replica
+}
+
+func (d *disk) with(w write) *disk {
+	n := *d
+	n.Entries = map[unit.Slot]accord.Entry{}
+	maps.Copy(n.Entries, d.Entries)
+	for _, r := range w.Recs {
+		n.Promised, n.Commit = r.Promised, r.Commit
+		if r.Entry != nil {
+			n.Entries[r.Entry.Slot] = *r.Entry
+		}
+	}
+	if w.Snap != nil {
+		n.Snap = w.Snap
+		maps.DeleteFunc(n.Entries, func(s unit.Slot, _ accord.Entry) bool { return s <= w.Snap.Slot })
+	}
+	return &n
+}
+
+// replica is one process: the engine, its disk and its steady clock. One that is
+// part of a world is never changed: a step works on a twin of it.
+type replica struct {
+	self    accord.Member
+	core    *accord.Core
+	now     unit.Millis
+	disk    *disk
+	pending []write // not synced yet, in order
+	clock   unit.Millis
+	mark    digest
+}
+
+func (r *replica) twin() *replica {
+	n := *r
+	n.core = twin(reflect.ValueOf(r.core)).Interface().(*accord.Core)
+	n.pending = slices.Clone(r.pending)
+	return &n
+}
+
+// seal marks a replica once its step is over.
+func (r *replica) seal(blind map[string]bool) {
+	b := make([]byte, 0, 2048)
+	core := reflect.ValueOf(r.core).Elem()
+	for i := 0; i < core.NumField(); i++ {
+		if !blind[core.Type().Field(i).Name] {
+			b = canon(b, core.Field(i))
+		}
+	}
+	b = canon(b, reflect.ValueOf(r.disk))
+	b = canon(b, reflect.ValueOf(r.pending))
+	b = canon(b, reflect.ValueOf(r.self))
+	b = canon(b, reflect.ValueOf(r.now))
+	b = canon(b, reflect.ValueOf(r.clock))
+	r.mark = sum(b)
+}
+
+// blind names the engine's fields that can't tell two states of a plan apart.
+func blind(p *Plan) map[string]bool {
+	b := map[string]bool{"told": true} // read by Fresh alone, which nobody asks here
+	if p.Instant {
+		b["tokens"] = true // nothing waits for a sync between steps: a mere name
+	}
+	if p.Most[Beat]+p.Most[Drain]+p.Most[Reseat] == 0 {
+		// what a leader reads on its timer, and when it hands over or takes a change
+		b["seen"], b["courses"], b["lag"] = true, true, true
+	}
+	return b
+}
+
+// boot starts a life from the disk.
+func (r *replica) boot(p *Plan, founders, learners []accord.Member) {
+	b := accord.Boot{Promised: r.disk.Promised, Commit: r.disk.Commit, Eras: []accord.Era{{Seats: founders}}}
+	if s := r.disk.Snap; s != nil {
+		b.Base, b.Eras, b.Clock = s.Slot, s.Eras, s.Clock
+		b.Commit = max(b.Commit, s.Slot)
+	}
+	for _, s := range slices.Sorted(maps.Keys(r.disk.Entries)) {
+		b.Entries = append(b.Entries, r.disk.Entries[s])
+	}
+	conf := p.Conf
+	conf.Self = r.self
+	r.pending, r.clock = nil, b.Clock
+	r.core = accord.New(conf, b, r.now)
+	r.core.SetLearners(learners)
+}
+
+// image is the replica's state as a snapshot.
+func (r *replica) image() *snap {
+	return &snap{r.core.Commit(), slices.Clone(r.core.Eras()), r.clock}
+}
+
+// holds tells whether the disk has an entry accepted under an epoch, or one
+// that needs no acceptance any more.
+func (d *disk) holds(s unit.Slot, b unit.Ballot) bool {
+	e, ok := d.Entries[s]
+	return ok && e.Ballot >= b || d.Snap != nil && s <= d.Snap.Slot
+}
+
+// bound is the highest epoch the disk holds the replica to.
+func (d *disk) bound() unit.Ballot {
+	b := d.Promised
+	for _, e := range d.Entries {
+		b = max(b, e.Ballot)
+	}
+	return b
+}
