A replica is level when its disk says so: synced, and marked as decided

Cause: the answer to a leader's question told the decided prefix in memory. Found by the explorer: a leader takes a change of membership for settled by such words, the member replaced goes away, and when the leader's disk is lost while the others lose power, (a) a feed that was not synced yet is gone for good, and (b) with everything synced, nobody is left who knows that the new membership is in force: the survivors wait for the members of the old one for ever.

Change: Level carries the decided mark that is on the disk; if that lags, a record with the mark is written first and the answer waits for its sync (one small record for each question, under a sync shared with others).

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -40,6 +40,7 @@
 	bal   unit.Ballot
 	vow   bool // own promise becomes a vote once synced
 	at    unit.Millis
+	mark  unit.Slot // the decided mark of its record
 }
 
 // mark is what was decided when a token was given out.
@@ -95,6 +96,7 @@
 	fetchAt  unit.Millis
 	tokens   uint64
 	firm     unit.Slot // decided, and every entry up to it is surely on the disk
+	marked   unit.Slot // the decided mark that is on the disk
 	firming  []mark
 	unsure   int // snapshots installed that are not on the disk yet
 	waits    []wait
@@ -132,7 +134,7 @@
 
 // New starts a replica from what its disk holds.
 func New(conf Conf, boot Boot, now unit.Millis) *Core {
-	c := &Core{conf: conf, promised: boot.Promised, log: map[unit.Slot]*slot{}, commit: boot.Base, base: boot.Base, firm: boot.Commit, clock: boot.Clock,
+	c := &Core{conf: conf, promised: boot.Promised, log: map[unit.Slot]*slot{}, commit: boot.Base, base: boot.Base, firm: boot.Commit, marked: boot.Commit, clock: boot.Clock,
 		eras: append([]Era(nil), boot.Eras...), heardAt: now, seen: map[unit.Num]unit.Millis{}, fed: map[unit.Node]sent{}}
 	for _, e := range boot.Entries {
 		if e.Slot <= boot.Base {
@@ -239,7 +241,7 @@
 
 func (c *Core) save(r Record, w wait) {
 	r.Commit, r.Promised = c.firm, c.promised
-	w.at = c.now
+	w.at, w.mark = c.now, c.firm
 	c.eff.Saves = append(c.eff.Saves, r)
 	c.waits = append(c.waits, w)
 }
@@ -277,6 +279,7 @@
 			n++
 			continue
 		}
+		c.marked = w.mark
 		c.eff.Sends = append(c.eff.Sends, w.msgs...)
 		if w.vow && c.role == Candidate && w.bal == c.promised {
 			c.promise(now, Msg{Kind: Promise, From: c.conf.Self.Num, Ballot: w.bal, Commit: c.commit, Entries: c.tail(c.commit + 1)})
@@ -392,7 +395,7 @@
 		c.follow(now, from, m.Ballot)
 		c.learn(now, from, m.Ballot, m.Commit)
 		if m.Yes {
-			c.send(from, Msg{Kind: Level, Ballot: m.Ballot, Commit: c.commit})
+			c.level(from, m.Ballot)
 		}
 	case Level:
 		if c.role == Leader && m.Ballot == c.leader {
@@ -435,8 +438,6 @@
 
 // Mark puts the decided prefix on record, for a process that ends in order.
 func (c *Core) Mark() {
-	if len(c.waits) == 0 && c.unsure == 0 {
-		c.firm = c.commit
-	}
+	c.firm = c.kept()
 	c.save(Record{}, wait{})
 }
--- a/internal/accord/learn.go
+++ b/internal/accord/learn.go
@@ -14,7 +14,7 @@
 	if now-max(c.log[c.commit+1].since, c.nudgedAt) >= c.conf.Nudge {
 		c.nudgedAt = now
 		c.eff.Sends = append(c.eff.Sends, Envelope{To: c.leadNode, Spare: true,
-			Msg: Msg{Kind: Level, Group: c.conf.Group, From: c.conf.Self.Num, Ballot: c.leader, Commit: c.commit, Yes: true}})
+			Msg: Msg{Kind: Level, Group: c.conf.Group, From: c.conf.Self.Num, Ballot: c.leader, Commit: c.marked, Yes: true}})
 	}
 }
 
@@ -230,6 +230,27 @@
 	return c.leadNode != "" && now-c.heardAt < c.conf.Patience+2*c.conf.Beat && c.commit >= c.told
 }
 
+// kept is the decided prefix that is surely on this replica's disk.
+func (c *Core) kept() unit.Slot {
+	if len(c.waits) == 0 && c.unsure == 0 {
+		return c.commit
+	}
+	return c.firm
+}
+
+// level tells a leader what this replica holds, once its disk holds that and says
+// that it is decided. Those who decided it may be let go for this word, and then
+// nobody else could say so after a loss of power.
+func (c *Core) level(to unit.Node, b unit.Ballot) {
+	c.firm = c.kept()
+	m := Msg{Kind: Level, Ballot: b, Commit: c.firm}
+	if c.marked == c.firm {
+		c.send(to, m)
+		return
+	}
+	c.save(Record{}, wait{msgs: []Envelope{c.envelope(to, m)}})
+}
+
 // Firm tells that an installed snapshot is on the disk: until then no decided
 // mark may count on it.
 func (c *Core) Firm() { c.unsure-- }
