--- a/internal/edict/moves.go
+++ b/internal/edict/moves.go
@@ -212,6 +212,10 @@
 		}
 	}
 	settled := len(r.Silent) == 0 && accord.Same(sh.Seats, sh.Voters)
+	for _, m := range sh.Voters {
+		o := s.find(m.Node)
+		settled = settled && (o == nil || !o.Empty) // a follower is on its way to that seat
+	}
 	for _, m := range sh.Learners {
 		o := s.find(m.Node)
 		if o == nil || o.Gone || o.Empty || settled && s.spare(sh, o) && !s.relieving(sh, o, load) {
