An edge that came back over a new link keeps its place from what comes late over the old

Cause: a FOLLOW that a store read late, from a link the edge had left (the store was slow or frozen), took the edge's place for outcomes from the new link; they went nowhere until the next following. Change: a FOLLOW over a link made before the one the edge follows over is not taken. Shown with the safeguard taken out: TestFollowedOverTheLaterLink ("2 links are followed, outcomes go to the later one: false").

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -425,6 +425,9 @@
 }
 
 func (d *Daemon) follow(l *lane.Link, x trace.Follow) {
+	if f := d.byEdge[x.Edge]; f != nil && l.Before(f.link) {
+		return // the edge has left this link: what it asked over it comes late
+	}
 	ready := d.fresh(unit.Steady(), x.Group)
 	f := d.followers[l]
 	if f != nil {
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -202,6 +202,9 @@
 	return l.peer
 }
 
+// Before tells whether a peer opened the link before another one to here.
+func (l *Link) Before(o *Link) bool { return l.seq < o.seq }
+
 // Dialed tells whether this side opened the link.
 func (l *Link) Dialed() bool { return l.to != "" }
 
