Tests: messages that are done do not wear a connection out; simulated runs side by side

With messages that are done remembered as well, TestBound says "another message: done over connection 2". The two simulated tests run in parallel.

--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -189,8 +189,10 @@
 	if r := attempt("m1", addr).run(&p, soon()); r.outcome != queue.Failed || len(p.idle) != 1 {
 		t.Fatalf("first: %s", r.outcome)
 	}
-	if r := attempt("m2", addr).run(&p, soon()); r.outcome != queue.Done || conns != 1 {
-		t.Fatalf("another message: %s over connection %d", r.outcome, conns)
+	for i := 0; i < 2*mostOpen; i++ {
+		if r := attempt(fmt.Sprint("other", i), addr).run(&p, soon()); r.outcome != queue.Done || conns != 1 {
+			t.Fatalf("another message: %s over connection %d", r.outcome, conns)
+		}
 	}
 	if r := attempt("m1", addr).run(&p, soon()); r.outcome != queue.Done || conns != 2 {
 		t.Fatalf("the same message again: %s over connection %d", r.outcome, conns)
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -525,6 +525,7 @@
 
 // TestSim: the rules hold under changes of leader, deaths and wanting workers.
 func TestSim(t *testing.T) {
+	t.Parallel()
 	seeds := int64(12)
 	if n, err := strconv.Atoi(os.Getenv("DISPATCH_SEEDS")); err == nil {
 		seeds = int64(n)
@@ -538,6 +539,7 @@
 
 // TestSimSeesFaults: each check fails when its safeguard is taken away.
 func TestSimSeesFaults(t *testing.T) {
+	t.Parallel()
 	for spoil, want := range map[string]string{"early": "EARLY", "order": "ORDER", "ceiling": "CEILING", "twice": "TWICE", "again": "AGAIN"} {
 		found := false
 		for seed := int64(1); seed <= 6 && !found; seed++ {
