--- a/internal/choir/choir.go
+++ b/internal/choir/choir.go
@@ -82,6 +82,7 @@
 	tail    []applied           // what the engine holds of the decided log
 	held    int                 // its bytes
 	given   map[unit.Node]*gift // snapshots on their way to peers
+	owed    map[unit.Node]*owed // the log that has to follow them
 	last    image               // the newest one, for whoever else needs one now
 	coming  *arrival            // one on its way here
 	lead    unit.Ballot
@@ -117,7 +118,7 @@
 		boot.Eras = []accord.Era{{From: 0, Seats: genesis}}
 	}
 	boot.Clock = m.Clock()
-	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group, given: map[unit.Node]*gift{}}
+	p := &Part{Core: accord.New(conf, boot, unit.Steady()), Machine: m, group: conf.Group, given: map[unit.Node]*gift{}, owed: map[unit.Node]*owed{}}
 	ch.Parts[conf.Group] = p
 	ch.flush(p)
 	return p, nil
@@ -169,6 +170,9 @@
 				l = ch.Hub.Spare(s.To)
 			} else if s.Msg.Kind == accord.Feed {
 				l = ch.Hub.Bulk(s.To)
+				if o := p.owed[s.To]; o != nil {
+					o.after, o.heard = max(o.after, s.Msg.Entries[0].Slot-1), unit.Steady()
+				}
 			}
 			l.Send(ch.Kind, s.Msg)
 		}
@@ -199,12 +203,12 @@
 
 // keep lets go of the oldest of the decided log in memory, past a bound. The
 // disk keeps it until a snapshot covers it; a replica that lags further gets a
-// snapshot.
+// snapshot, and what it needs after that is kept a while longer.
 func (p *Part) keep(s unit.Slot, bytes, most int) {
 	p.tail = append(p.tail, applied{s, bytes})
 	p.held += bytes
 	n := 0
-	for p.held > most && n < len(p.tail)-1 {
+	for p.held > most+p.room(p.tail[n].slot) && n < len(p.tail)-1 {
 		p.held -= p.tail[n].bytes
 		n++
 	}
@@ -214,6 +218,17 @@
 	}
 }
 
+// room is how many bytes more are kept for the sake of an instance that a peer
+// needs after its snapshot.
+func (p *Part) room(s unit.Slot) (n int) {
+	for _, o := range p.owed {
+		if s > o.after {
+			n = max(n, o.room)
+		}
+	}
+	return n
+}
+
 func (ch *Choir) snapshot(p *Part) {
 	s, err := p.image()
 	if err != nil {
--- /dev/null
+++ b/internal/choir/gift_test.go
@@ -0,0 +1,222 @@
+package choir
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/lane"
+	"oxbowdeck/internal/unit"
+	"oxbowdeck/internal/vault"
+)
+
+// tally is a machine whose state tells every instance that made it.
+type tally struct {
+	N     int
+	Sum   [32]byte
+	Pad   []byte
+	loads int
+}
+
+func (m *tally) Apply(d accord.Decided) {
+	m.N++
+	m.Sum = sha256.Sum256(append(m.Sum[:], d.Raw...))
+}
+func (m *tally) Save() ([]byte, error) { return cbor.Marshal(m) }
+func (m *tally) Clock() unit.Millis    { return 0 }
+func (m *tally) Size() int             { return len(m.Pad) }
+func (m *tally) Load(b []byte) error {
+	n := tally{loads: m.loads + 1}
+	if err := cbor.Unmarshal(b, &n); err != nil {
+		return err
+	}
+	if n.N == 0 {
+		return errors.New("refused")
+	}
+	*m = n
+	return nil
+}
+
+// begin starts a process with one replica of group 7.
+func begin(t *testing.T, self accord.Member, genesis []accord.Member, m *tally) *Choir {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "choir") // not TempDir: a slow disk may still write at the end
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := vault.Open(context.Background(), dir, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ch := &Choir{Actor: NewActor(1024), Vault: v, Kind: 1, SnapKind: 2, TailAt: 128 << 10, SnapAt: 1 << 30, Parts: map[unit.Group]*Part{},
+		Failed: func(err error) { t.Error(err) }}
+	ch.Hub = lane.New(lane.Hello{Node: self.Node, Life: 1}, lane.Bounds{Queue: 64 << 20, Frame: 64 << 20, Dial: time.Second, Silence: 5 * time.Second, RetryMin: 5 * time.Millisecond, RetryMax: 50 * time.Millisecond},
+		func(l *lane.Link, k lane.Kind, b []byte) {
+			ch.Actor.Do(func() { ch.Frame(l.Peer().Node, k, b) })
+		}, func(*lane.Link) {})
+	if _, err := ch.Open(accord.Conf{Group: 7, Self: self, Wnd: 8, WndBytes: 4 << 20, Bsz: 64 << 10, Delta: 2, Beat: 40, Patience: 400, Stagger: 50,
+		OpenBytes: 8 << 20, FeedBytes: 256 << 10, Impatience: 50, Nudge: 50}, genesis, m); err != nil {
+		t.Fatal(err)
+	}
+	if err := ch.Hub.Listen(string(self.Node)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ch.Actor.Stop()
+		ch.Hub.Close(0)
+		v.Close()
+		os.RemoveAll(dir)
+	})
+	return ch
+}
+
+func free(t *testing.T) unit.Node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return unit.Node(l.Addr().String())
+}
+
+func on[T any](ch *Choir, f func() T) T {
+	c := make(chan T, 1)
+	ch.Actor.Do(func() { c <- f() })
+	return <-c
+}
+
+// TestLearnerOfABusyGroup: the log moves on by several tails while a learner is
+// given the state; it gets there all the same, with one snapshot or two.
+func TestLearnerOfABusyGroup(t *testing.T) {
+	a, b := accord.Member{Num: 1, Node: free(t)}, accord.Member{Num: 2, Node: free(t)}
+	ma, mb := &tally{Pad: make([]byte, 8<<20)}, &tally{}
+	lead := begin(t, a, []accord.Member{a}, ma)
+	go lead.Actor.Run(lead.Step)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for seq := uint64(1); ; seq++ {
+			lead.Actor.Do(func() {
+				lead.Submit(7, accord.Request{ID: accord.ID{Origin: "x", Seq: seq}, Data: fmt.Appendf(make([]byte, 20000), "%d", seq)}, false)
+			})
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	at := func(ch *Choir) unit.Slot {
+		return on(ch, func() unit.Slot { return ch.Parts[7].Core.Commit() })
+	}
+	for at(lead) < 40 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	learner := begin(t, b, nil, mb)
+	go learner.Actor.Run(learner.Step)
+	lead.Actor.Do(func() { lead.Parts[7].Core.SetLearners([]accord.Member{b}) })
+	began := time.Now()
+	for at(learner)+10 < at(lead) {
+		if time.Since(began) > 10*time.Second {
+			t.Fatalf("after 10 s at %d of %d, %d snapshots", at(learner), at(lead), on(learner, func() int { return mb.loads }))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(stop)
+	<-stopped
+	for end := at(lead); at(learner) < end; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("%v, %d instances, %d snapshots", time.Since(began), at(lead), on(learner, func() int { return mb.loads }))
+	if loads := on(learner, func() int { return mb.loads }); loads > 2 {
+		t.Fatalf("%d snapshots", loads)
+	}
+	if x, y := on(lead, func() tally { return *ma }), on(learner, func() tally { return *mb }); x.N != y.N || x.Sum != y.Sum {
+		t.Fatalf("%d applied here, %d there", x.N, y.N)
+	}
+	if held := on(lead, func() int { return lead.Parts[7].held }); held > lead.TailAt+len(ma.Pad)+4096 {
+		t.Fatalf("%d bytes of log held", held)
+	}
+}
+
+// TestSnapshotsRefused: what is torn, mixed of two, of another group or
+// membership, older than the log, or what the machine cannot read changes nothing.
+func TestSnapshotsRefused(t *testing.T) {
+	self, peer := accord.Member{Num: 1, Node: free(t)}, unit.Node("127.0.0.1:1")
+	other := accord.Member{Num: 9, Node: peer}
+	m := &tally{N: 1}
+	ch := begin(t, self, []accord.Member{other}, m)
+	p := ch.Parts[7]
+	eras := []accord.Era{{From: 0, Seats: []accord.Member{other}}}
+	state := func(n int, fill byte) []byte {
+		b, _ := cbor.Marshal(tally{N: n, Pad: bytes.Repeat([]byte{fill}, 300<<10)})
+		return b
+	}
+	cut := func(g unit.Group, at unit.Slot, eras []accord.Era, b []byte) (out []snapPart) {
+		s := vault.Snapshot{Slot: at, Eras: eras, State: b}
+		for off := 0; off < len(b); off += partBytes {
+			out = append(out, snapPart{Group: 7, Slot: at, Eras: eras, Total: len(b), Off: off, Data: bytes.Clone(b[off:min(off+partBytes, len(b))]), Digest: s.Digest(g)})
+		}
+		return out
+	}
+	for n, x := range []unit.Slot{5, 6} {
+		for name, parts := range map[string][]snapPart{
+			"torn":  func() []snapPart { f := cut(7, x, eras, state(3, 'a')); f[1].Data[7]++; return f }(),
+			"mixed": append(cut(7, x, eras, state(3, 'a'))[:1], cut(7, x, eras, state(3, 'b'))[1:]...),
+			"mixed, same digest": func() []snapPart {
+				f, g := cut(7, x, eras, state(3, 'a')), cut(7, x, eras, state(3, 'b'))
+				f[2].Data = g[2].Data
+				return f
+			}(),
+			"of another group":      cut(8, x, eras, state(3, 'a')),
+			"of another membership": cut(7, x, []accord.Era{{From: 0, Seats: []accord.Member{self}}}, state(3, 'a')),
+			"of none":               cut(7, x, nil, state(3, 'a')),
+			"older":                 cut(7, p.Core.Commit(), eras, state(3, 'a')),
+			"unread":                cut(7, x, eras, state(0, 'a')),
+			"without a digest": func() []snapPart {
+				f := cut(7, x, eras, state(3, 'a'))
+				for i := range f {
+					f[i].Digest = nil
+				}
+				return f
+			}(),
+		} {
+			was, at := *m, p.Core.Commit()
+			for _, f := range parts {
+				ch.part(peer, f)
+			}
+			if m.N != was.N || m.loads != was.loads || p.Core.Commit() != at {
+				t.Fatalf("%s: taken", name)
+			}
+		}
+		// parts of an earlier transfer, and of an earlier life of the peer, come between
+		late, same := cut(7, x-1, eras, state(2, 'z')), cut(7, x, eras, state(2, 'y'))
+		for i, f := range cut(7, x, eras, state(4+n, 'a')) {
+			if i > 0 {
+				ch.part(peer, late[0])
+				ch.part(peer, same[i])
+			}
+			ch.part(peer, f)
+		}
+		if m.N != 4+n || p.Core.Commit() != x {
+			t.Fatalf("the right one was not taken: %d at %d", m.N, p.Core.Commit())
+		}
+		for deadline := time.Now().Add(5 * time.Second); p.saving && time.Now().Before(deadline); {
+			select {
+			case f := <-ch.Actor.box:
+				f()
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+}
--- a/internal/vault/old.go
+++ b/internal/vault/old.go
@@ -6,6 +6,9 @@
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/opt"
 	"github.com/syndtr/goleveldb/leveldb/util"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
 )
 
 // The first letters of rows in folders of before. Their keys held a group in one
@@ -18,6 +21,16 @@
 // movedBytes go under one sync when a folder of before is taken over.
 const movedBytes = 256 << 10
 
+// oldSnapHead is the head of a snapshot from before it had a digest.
+type oldSnapHead struct {
+	_     struct{} `cbor:",toarray"`
+	Slot  unit.Slot
+	Eras  []accord.Era
+	Gen   uint32
+	Rows  uint32
+	Bytes uint64
+}
+
 // move puts all rows under today's keys. A folder of before is rewritten some
 // rows at a time; each is there under one key or the other at any time, so it can
 // be done again from any point. The names go first: a program of before, started
--- a/internal/vault/old_test.go
+++ b/internal/vault/old_test.go
@@ -19,16 +19,6 @@
 	return binary.BigEndian.AppendUint64([]byte{'g', g, kind}, uint64(s))
 }
 
-// oldHead is the head of a snapshot as it was before it held a digest.
-type oldHead struct {
-	_     struct{} `cbor:",toarray"`
-	Slot  unit.Slot
-	Eras  []struct{}
-	Gen   uint32
-	Rows  uint32
-	Bytes uint64
-}
-
 const oldEntries = 40
 
 // makeOld fills tables as a program of before did.
@@ -48,7 +38,7 @@
 	row([]byte("midentity"), 77)
 	for _, g := range []byte{0, 1, 255} {
 		row(oldKey(g, 'h', 0), headRow{Promised: unit.Ballot(1000 + int(g)), Commit: 5 + oldEntries})
-		row(oldKey(g, 'S', 0), oldHead{Slot: 5, Gen: 3, Rows: 1, Bytes: 9})
+		row(oldKey(g, 'S', 0), oldSnapHead{Slot: 5, Gen: 3, Rows: 1, Bytes: 9})
 		b.Put(oldKey(g, 's', 3<<32), bytes.Repeat([]byte{g}, 9))
 		for s := unit.Slot(6); s <= 5+oldEntries; s++ {
 			row(oldKey(g, 'e', s), entryRow{Ballot: 9, Val: fmt.Appendf(make([]byte, 6000), "%d/%d", g, s)})
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -4,10 +4,13 @@
 package vault
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -49,12 +52,13 @@
 // snapHead says which rows make a group's snapshot. It is written, and synced,
 // after they are: until then the one before it holds.
 type snapHead struct {
-	_     struct{} `cbor:",toarray"`
-	Slot  unit.Slot
-	Eras  []accord.Era
-	Gen   uint32
-	Rows  uint32
-	Bytes uint64
+	_      struct{} `cbor:",toarray"`
+	Slot   unit.Slot
+	Eras   []accord.Era
+	Gen    uint32
+	Rows   uint32
+	Bytes  uint64
+	Digest []byte // none: written before there was one
 }
 
 // snapRow bytes go into one row, so that a large state does not hold the disk,
@@ -80,6 +84,26 @@
 	State []byte
 }
 
+// Digest binds a snapshot's bytes to its group, instance and memberships.
+func (s *Snapshot) Digest(g unit.Group) []byte {
+	h := NewDigest(g, s.Slot, s.Eras)
+	h.Write(s.State)
+	return h.Sum(nil)
+}
+
+// NewDigest begins a snapshot's digest; the bytes of its state are to follow.
+func NewDigest(g unit.Group, at unit.Slot, eras []accord.Era) hash.Hash {
+	h := sha256.New()
+	fmt.Fprintln(h, g, at, len(eras))
+	for _, e := range eras {
+		fmt.Fprintln(h, e.From, len(e.Seats))
+		for _, m := range e.Seats {
+			fmt.Fprintf(h, "%d %q\n", m.Num, m.Node)
+		}
+	}
+	return h
+}
+
 type entryRow struct {
 	_      struct{} `cbor:",toarray"`
 	Ballot unit.Ballot
@@ -401,8 +425,8 @@
 // the same generation: after the head, the one before it names other rows.
 func (v *Vault) snapRow(j *job, n uint32) (done bool, err error) {
 	if n == 0 {
-		var old snapHead
-		if _, err := v.get(key(j.group, 'S', 0), &old); err != nil {
+		old, err := v.head(j.group)
+		if err != nil {
 			return false, err
 		}
 		j.gen = old.Gen + 1
@@ -415,7 +439,7 @@
 		// have begun a new one since
 		return false, v.db.Put(key(j.group, 's', unit.Slot(gen)<<32|unit.Slot(n)), j.snap.State[from:min(from+snapRow, len(j.snap.State))], &opt.WriteOptions{Sync: true})
 	}
-	b, err := cbor.Marshal(snapHead{Slot: j.snap.Slot, Eras: j.snap.Eras, Gen: gen, Rows: rows, Bytes: uint64(len(j.snap.State))})
+	b, err := cbor.Marshal(snapHead{Slot: j.snap.Slot, Eras: j.snap.Eras, Gen: gen, Rows: rows, Bytes: uint64(len(j.snap.State)), Digest: j.snap.Digest(j.group)})
 	if err != nil {
 		return false, err
 	}
@@ -428,6 +452,17 @@
 	return true, v.drop(key(j.group, 'e', 0), key(j.group, 'e', j.snap.Slot+1), nil)
 }
 
+// head reads the head of a group's snapshot; an empty one when there is none.
+func (v *Vault) head(g unit.Group) (h snapHead, err error) {
+	if _, err = v.get(key(g, 'S', 0), &h); damaged(err) {
+		var old oldSnapHead
+		if _, err = v.get(key(g, 'S', 0), &old); err == nil {
+			h = snapHead{Slot: old.Slot, Eras: old.Eras, Gen: old.Gen, Rows: old.Rows, Bytes: old.Bytes}
+		}
+	}
+	return h, err
+}
+
 // get reads a row; false when there is none.
 func (v *Vault) get(k []byte, into any) (bool, error) {
 	b, err := v.db.Get(k, nil)
@@ -541,8 +576,8 @@
 	if _, err := v.get(key(g, 'h', 0), &head); err != nil {
 		return boot, nil, unit.Err("read head", "disk", err)
 	}
-	var sh snapHead
-	if _, err := v.get(key(g, 'S', 0), &sh); err != nil {
+	sh, err := v.head(g)
+	if err != nil {
 		return boot, nil, unit.Err("read snapshot", "disk", err)
 	}
 	s := Snapshot{Slot: sh.Slot, Eras: sh.Eras}
@@ -559,6 +594,9 @@
 	if uint64(len(s.State)) != sh.Bytes {
 		return boot, nil, unit.Errf("read snapshot", "disk", "%w: %d bytes, its head says %d", ErrDamaged, len(s.State), sh.Bytes)
 	}
+	if sh.Digest != nil && !bytes.Equal(sh.Digest, s.Digest(g)) {
+		return boot, nil, unit.Errf("read snapshot", "disk", "%w: its digest is another", ErrDamaged)
+	}
 	boot.Promised, boot.Commit, boot.Base, boot.Eras = head.Promised, head.Commit, s.Slot, s.Eras
 	if s.Slot > boot.Commit {
 		boot.Commit = s.Slot
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -147,3 +147,20 @@
 		}
 	}
 }
+
+// TestSnapshotOfOtherBytes: rows that are not those the head was written for.
+func TestSnapshotOfOtherBytes(t *testing.T) {
+	v := newLayer(1).open(t)
+	defer v.Close()
+	done := make(chan bool, 1)
+	v.SaveSnapshot(3, Snapshot{Slot: 9, State: []byte("state")}, func() { done <- true })
+	<-done
+	if _, snap, err := v.Load(3); err != nil || string(snap.State) != "state" {
+		t.Fatal(err)
+	}
+	h, _ := v.head(3)
+	v.db.Put(key(3, 's', unit.Slot(h.Gen)<<32), []byte("stale"), nil)
+	if _, _, err := v.Load(3); !damaged(err) {
+		t.Fatalf("taken: %v", err)
+	}
+}
