--- /dev/null
+++ b/internal/vault/names_test.go
@@ -0,0 +1,171 @@
+package vault
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// story is what a run was told of: it must all be there.
+type story struct {
+	mu      sync.Mutex
+	entries map[unit.Group]map[unit.Slot]string
+	snapped map[unit.Group]unit.Slot
+	row     int
+	epoch   int // of the group that is dropped and begun anew
+}
+
+// TestNamesLostOneByOne: entries, snapshots, rows, dropped groups and compactions
+// on tables so small that journals and manifests change all the time; the power
+// goes at any call, also of an opening, and each name is kept or lost by itself.
+func TestNamesLostOneByOne(t *testing.T) {
+	o := options(false)
+	o.WriteBuffer, o.CompactionTableSize, o.CompactionL0Trigger, o.CompactionTotalSize = 24<<10, 16<<10, 2, 64<<10
+	told := 0
+	for seed := int64(1); seed <= 24; seed++ {
+		l := newLayer(seed)
+		l.strict = seed%2 == 0
+		rng := rand.New(rand.NewSource(seed + 1000))
+		st := &story{entries: map[unit.Group]map[unit.Slot]string{0: {}, 256: {}}, snapped: map[unit.Group]unit.Slot{}}
+		next := unit.Slot(0)
+		for life := 0; life < 5; life++ {
+			l.mu.Lock()
+			l.left, l.cut = 1+rng.Intn(700), make(chan struct{})
+			l.mu.Unlock()
+			ctx, end := context.WithCancel(t.Context())
+			go func() { <-l.cut; end() }()
+			v, err := l.try(ctx, o)
+			for err == nil && ctx.Err() == nil {
+				next++
+				st.step(ctx, v, rng, next)
+			}
+			end()
+			if v != nil {
+				go v.Close() // what is left of that life
+			}
+			st.check(t, l, fmt.Sprintf("seed %d life %d", seed, life))
+		}
+		told += len(st.entries[0]) + len(st.entries[256])
+	}
+	if told < 1000 {
+		t.Fatalf("only %d writes were confirmed", told)
+	}
+}
+
+// step does one thing and waits until it is told of, or the power is gone.
+func (st *story) step(ctx context.Context, v *Vault, rng *rand.Rand, s unit.Slot) {
+	g := unit.Group(rng.Intn(2) * 256)
+	done := make(chan struct{})
+	tell := func(f func()) func() {
+		return func() {
+			st.mu.Lock()
+			f()
+			st.mu.Unlock()
+			close(done)
+		}
+	}
+	save := func(g unit.Group, val string, f func()) {
+		v.Save(g, []accord.Record{{Promised: unit.Ballot(s), Entry: &accord.Entry{Slot: s, Ballot: unit.Ballot(s), Val: []byte(val)}}}, tell(f))
+	}
+	switch rng.Intn(14) {
+	case 0:
+		at := s - min(s, 4)
+		v.SaveSnapshot(g, Snapshot{Slot: at, State: bytes.Repeat([]byte{byte(at)}, rng.Intn(2*snapRow))}, tell(func() { st.snapped[g] = max(st.snapped[g], at) }))
+	case 1:
+		if v.PutAll(map[string]any{"one": int(s), "two": int(s)}) == nil {
+			tell(func() { st.row = int(s) })()
+		}
+	case 2:
+		v.Forget(9)
+		for ctx.Err() == nil {
+			v.mu.Lock()
+			busy := v.going[9]
+			v.mu.Unlock()
+			if !busy {
+				tell(func() { st.epoch++ })()
+				return
+			}
+		}
+	case 3:
+		v.Compact()
+		return
+	case 4, 5:
+		st.mu.Lock()
+		e := st.epoch
+		st.mu.Unlock()
+		save(9, fmt.Sprint(e), func() {})
+	default:
+		val := fmt.Sprint(s, "/", string(bytes.Repeat([]byte{'x'}, rng.Intn(3000))))
+		save(g, val, func() { st.entries[g][s] = val })
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (st *story) check(t *testing.T, l *layer, when string) {
+	t.Helper()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	v := l.open(t)
+	defer v.Close()
+	for g, entries := range st.entries {
+		boot, snap, err := v.Load(g)
+		if err != nil {
+			t.Fatalf("%s: group %d: %v", when, g, err)
+		}
+		have, base := map[unit.Slot]string{}, unit.Slot(0)
+		for _, e := range boot.Entries {
+			have[e.Slot] = string(e.Val)
+		}
+		if snap != nil {
+			base = snap.Slot
+		}
+		if base < st.snapped[g] {
+			t.Fatalf("%s: group %d: snapshot %d, was %d", when, g, base, st.snapped[g])
+		}
+		for s, val := range entries {
+			if s > base && have[s] != val {
+				t.Fatalf("%s: group %d: entry %d was confirmed and is gone", when, g, s)
+			}
+		}
+	}
+	var one, two int
+	v.Get("one", &one)
+	v.Get("two", &two)
+	if one != two || one < st.row {
+		t.Fatalf("%s: rows %d and %d, was %d", when, one, two, st.row)
+	}
+	boot, _, err := v.Load(9)
+	for _, e := range boot.Entries {
+		if e := string(e.Val); e < fmt.Sprint(st.epoch) && len(e) <= len(fmt.Sprint(st.epoch)) {
+			t.Fatalf("%s: an entry of replica %s is back under that of %d", when, e, st.epoch)
+		}
+	}
+	if err != nil {
+		t.Fatal(when, err)
+	}
+}
+
+// TestFolderSyncs counts what the names cost.
+func TestFolderSyncs(t *testing.T) {
+	l := newLayer(1)
+	v := l.open(t)
+	defer v.Close()
+	for s := unit.Slot(1); s <= 1000; s++ {
+		save(t, v, 0, entry(s, 1, string(make([]byte, 4096))))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.Logf("%d syncs of the folder for 1000 writes of 4 kB", l.syncs)
+	if l.syncs > 20 {
+		t.Fatalf("%d syncs of the folder for 1000 writes", l.syncs)
+	}
+}
