--- a/cmd/flux/main.go
+++ b/cmd/flux/main.go
@@ -38,7 +38,7 @@
 			return hold.Start(ctx, s)
 		}),
 		ground.CheckCommand(), worker(), lore.Command(hold.Bounds(&ground.Settings{ResendS: 10}), hold.Report(&ground.Settings{ReportS: 120})))
-	if err := root.Execute(); errors.Is(err, lore.ErrFaults) {
+	if err := root.Execute(); errors.Is(err, lore.ErrFaults) || errors.Is(err, ground.ErrFaults) {
 		os.Exit(1)
 	} else if err != nil {
 		os.Exit(2)
--- a/cmd/norm/main.go
+++ b/cmd/norm/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -18,7 +19,9 @@
 	root := &cobra.Command{Use: "norm", Short: "the control plane of oxbowdeck", SilenceUsage: true}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(serve(), ground.CheckCommand(), config(), status(), plan(), model(), lay())
-	if root.Execute() != nil {
+	if err := root.Execute(); errors.Is(err, ground.ErrFaults) {
+		os.Exit(1)
+	} else if err != nil {
 		os.Exit(2)
 	}
 }
--- a/internal/ground/command.go
+++ b/internal/ground/command.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
 	"oxbowdeck/internal/unit"
+	"oxbowdeck/internal/vault"
 )
 
 // Reread checks a settings file that is said to have changed. Addresses and
@@ -21,11 +24,18 @@
 	return s
 }
 
-// CheckCommand checks a settings file without starting anything.
+// ErrFaults: a data folder holds what it should not.
+var ErrFaults = errors.New("faults found")
+
+// CheckCommand checks a settings file, or the data folder of a process that does
+// not run, without starting or changing anything.
 func CheckCommand() *cobra.Command {
 	var asJSON bool
-	c := &cobra.Command{Use: "check FILE", Short: "check a settings file", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "check FILE|DIR", Short: "check a settings file, or a stopped process's data folder", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if i, err := os.Stat(args[0]); err == nil && i.IsDir() {
+				return checkFolder(cmd, args[0], asJSON)
+			}
 			s, err := Read(args[0])
 			if err != nil {
 				return err
@@ -36,6 +46,27 @@
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: good: node %s in zone %s\n", args[0], s.Name, s.Zone)
 			return err
 		}}
-	c.Flags().BoolVar(&asJSON, "json", false, "print the settings read, as JSON")
+	c.Flags().BoolVar(&asJSON, "json", false, "print what was read or found, as JSON")
 	return c
 }
+
+// checkFolder tells one line for each fault, and ErrFaults if there is one.
+func checkFolder(cmd *cobra.Command, dir string, asJSON bool) error {
+	f := vault.Check(dir)
+	if asJSON {
+		if err := json.NewEncoder(cmd.OutOrStdout()).Encode(f); err != nil {
+			return err
+		}
+	} else {
+		for _, s := range f.Notes {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", dir, s)
+		}
+		for _, s := range f.Faults {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: fault: %s\n", dir, s)
+		}
+	}
+	if len(f.Faults) > 0 {
+		return unit.Err("check", dir, ErrFaults)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/vault/check.go
@@ -0,0 +1,141 @@
+package vault
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// Findings is what Check found in a folder: faults, which a process would end on
+// or which hide what was acknowledged, and notes.
+type Findings struct {
+	Faults []string `json:"faults"`
+	Notes  []string `json:"notes"`
+}
+
+// Identity is who a control process's disk is: its own number, and the one its
+// group gave it.
+type Identity struct {
+	_    struct{} `cbor:",toarray"`
+	Disk uint64
+	Num  unit.Num
+}
+
+// Check looks through the folder of a process that does not run, and changes
+// nothing there.
+func Check(dir string) (f Findings) {
+	bad := func(s string, x ...any) { f.Faults = append(f.Faults, fmt.Sprintf(s, x...)) }
+	note := func(s string, x ...any) { f.Notes = append(f.Notes, fmt.Sprintf(s, x...)) }
+	used, free, err := Room(dir)
+	if err != nil {
+		bad("the folder cannot be read: %v", err)
+		return f
+	}
+	note("room: %d kB taken, %d kB left", used>>10, free>>10)
+	if need := journals(dir); free < need {
+		bad("no room to start: %d kB are needed, %d kB are left", need>>10, free>>10)
+	}
+	v, err := Open(context.Background(), dir, true)
+	if errors.Is(err, syscall.EAGAIN) {
+		bad("a process runs on the folder")
+		return f
+	} else if err != nil {
+		bad("the folder cannot be read: %v", err)
+		return f
+	}
+	defer v.Close()
+	if v.db.moved {
+		note("keys of the old format: rewritten at the next start")
+	}
+	groups, err := v.Groups()
+	if err != nil {
+		bad("the groups cannot be listed: %v", err)
+	}
+	learned := false // a membership came with a snapshot, or can come from the log
+	for _, g := range groups {
+		boot, snap, err := v.Load(g)
+		if err != nil {
+			bad("group %d: %v", g, err)
+			continue
+		}
+		learned = learned || snap != nil || len(boot.Entries) > 0
+		for _, what := range gaps(boot) {
+			bad("group %d: %s", g, what)
+		}
+	}
+	var id Identity
+	var disk uint64
+	var genesis []accord.Member
+	var found [3]bool
+	for i, row := range []struct {
+		name string
+		into any
+	}{{"identity", &id}, {"genesis", &genesis}, {"disk", &disk}} {
+		if found[i], err = v.Get(row.name, row.into); err != nil {
+			bad("%v", err)
+		}
+	}
+	switch identity, founded, store := found[0], found[1], found[2]; {
+	case founded && !identity:
+		bad("a genesis without an identity: the founding was cut short")
+	case identity && !founded && id.Num > 0 && !learned:
+		bad("an identity with number %d, and neither genesis nor state", id.Num)
+	case !identity && !store && len(groups) > 0:
+		bad("groups without an identity")
+	}
+	return f
+}
+
+// gaps tells which decided instances above the snapshot are not there.
+func gaps(boot accord.Boot) (out []string) {
+	have, top := map[unit.Slot]bool{}, boot.Base
+	for _, e := range boot.Entries {
+		have[e.Slot] = true
+		top = max(top, e.Slot)
+	}
+	if boot.Commit > top {
+		out = append(out, fmt.Sprintf("decided to %d, held to %d", boot.Commit, top))
+	}
+	for s := boot.Base + 1; s <= min(boot.Commit, top); s++ {
+		if have[s] {
+			continue
+		}
+		from := s
+		for s < min(boot.Commit, top) && !have[s+1] {
+			s++
+		}
+		if from == boot.Base+1 {
+			out = append(out, fmt.Sprintf("%d to %d are missing between the snapshot and the log", from, s))
+		} else {
+			out = append(out, fmt.Sprintf("%d to %d are decided, and not there", from, s))
+		}
+	}
+	return out
+}
+
+// Room tells how many bytes a folder takes, and how many its file system has left.
+func Room(dir string) (used, free int64, err error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(dir, &s); err != nil {
+		return 0, 0, &fs.PathError{Op: "statfs", Path: dir, Err: err}
+	}
+	return Size(dir), int64(s.Bavail) * s.Bsize, nil
+}
+
+// journals is about how much an opening writes: the journals, as tables.
+func journals(dir string) (n int64) {
+	all, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, path := range all {
+		if i, err := os.Stat(path); err == nil {
+			n += i.Size()
+		}
+	}
+	return n + 64<<10
+}
--- /dev/null
+++ b/internal/vault/check_test.go
@@ -0,0 +1,80 @@
+package vault
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/syndtr/goleveldb/leveldb/storage"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// TestCheck: each fault is found by its line, and a folder without one has none.
+func TestCheck(t *testing.T) {
+	dir := t.TempDir()
+	fill := func(t *testing.T) *Vault {
+		v, err := Open(t.Context(), dir, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := v.PutAll(map[string]any{"identity": Identity{Disk: 3, Num: 1}, "genesis": []accord.Member{{Num: 1, Node: "n"}}}); err != nil {
+			t.Fatal(err)
+		}
+		for s := unit.Slot(1); s < 10; s++ {
+			save(t, v, 0, accord.Record{Promised: 5, Commit: s - 1, Entry: &accord.Entry{Slot: s, Ballot: 5}})
+		}
+		done := make(chan bool, 1)
+		v.SaveSnapshot(0, Snapshot{Slot: 4, State: []byte("state")}, func() { done <- true })
+		<-done
+		return v
+	}
+	for _, x := range []struct {
+		want string
+		harm func(v *Vault)
+	}{
+		{"", func(*Vault) {}},
+		{"5 to 6 are missing between the snapshot and the log", func(v *Vault) { v.db.Delete(key(0, 'e', 5), nil); v.db.Delete(key(0, 'e', 6), nil) }},
+		{"7 to 7 are decided, and not there", func(v *Vault) { v.db.Delete(key(0, 'e', 7), nil) }},
+		{"decided to 20, held to 9", func(v *Vault) { save(t, v, 0, accord.Record{Promised: 5, Commit: 20}) }},
+		{"row 0 of 1 is missing", func(v *Vault) { v.drop(key(0, 's', 0), key(0, 't', 0), nil) }},
+		{"its digest is another", func(v *Vault) {
+			h, _ := v.head(0)
+			v.db.Put(key(0, 's', unit.Slot(h.Gen)<<32), []byte("stale"), nil)
+		}},
+		{"a genesis without an identity", func(v *Vault) { v.db.Delete([]byte(named("identity")), nil) }},
+		{"and neither genesis nor state", func(v *Vault) {
+			v.db.Delete([]byte(named("genesis")), nil)
+			v.drop(key(0, 0, 0), key(1, 0, 0), nil)
+		}},
+		{"groups without an identity", func(v *Vault) {
+			v.db.Delete([]byte(named("genesis")), nil)
+			v.db.Delete([]byte(named("identity")), nil)
+		}},
+	} {
+		dir = t.TempDir()
+		v := fill(t)
+		x.harm(v)
+		if f := Check(dir); !slices.Contains(f.Faults, "a process runs on the folder") {
+			t.Fatalf("while it is open: %q", f.Faults)
+		}
+		v.Close()
+		for range 2 { // looking changes nothing
+			f := Check(dir)
+			if x.want == "" && len(f.Faults) > 0 || x.want != "" && (len(f.Faults) != 1 || !strings.Contains(f.Faults[0], x.want)) {
+				t.Fatalf("want %q, found %q", x.want, f.Faults)
+			}
+		}
+	}
+	dir = t.TempDir()
+	files, err := storage.OpenFile(dir, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	makeOld(t, files)
+	files.Close()
+	if f := Check(dir); !slices.ContainsFunc(f.Notes, func(s string) bool { return strings.Contains(s, "old format") }) {
+		t.Fatalf("%q", f)
+	}
+}
--- a/internal/vault/folder.go
+++ b/internal/vault/folder.go
@@ -55,6 +55,7 @@
 type tables struct {
 	*leveldb.DB
 	files storage.Storage
+	moved bool // its keys were of the old format
 }
 
 func (t *tables) Close() {
@@ -89,8 +90,9 @@
 func openAll(files storage.Storage, o *opt.Options) (*tables, error) {
 	db, err := leveldb.Open(files, o)
 	if err == nil {
-		if err = move(db); err == nil {
-			return &tables{db, files}, nil
+		var old bool
+		if old, err = move(db); err == nil {
+			return &tables{db, files, old}, nil
 		}
 		db.Close()
 	}
--- a/internal/vault/old.go
+++ b/internal/vault/old.go
@@ -36,18 +36,18 @@
 // be done again from any point. The names go first: a program of before, started
 // on such a folder, then finds no identity and counts its disk as empty, where
 // without its entries it would break promises made under that identity.
-func move(db *leveldb.DB) error {
-	if old, err := hasOld(db); err != nil || !old {
-		return err
+func move(db *leveldb.DB) (old bool, err error) {
+	if old, err = hasOld(db); err != nil || !old {
+		return old, err
 	}
-	err := each(db, oldNameRow, func(b *leveldb.Batch, k, v []byte) {
+	err = each(db, oldNameRow, func(b *leveldb.Batch, k, v []byte) {
 		b.Put([]byte(named(string(k[1:]))), v)
 		b.Delete(k)
 	})
 	if err != nil {
-		return err
+		return true, err
 	}
-	return each(db, oldGroupRow, func(b *leveldb.Batch, k, v []byte) {
+	return true, each(db, oldGroupRow, func(b *leveldb.Batch, k, v []byte) {
 		now := binary.BigEndian.AppendUint32([]byte{groupRow}, uint32(k[1]))
 		b.Put(append(now, k[2:]...), v)
 		b.Delete(k)
