Room on the disk is kept by what is left of it, and by control processes too

A store refused from 85% of the settings' limit on, whatever else filled the disk; a control process never did.

--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -52,6 +52,8 @@
 	counted  int // stores seen at the last look before the founding
 	foundAt  unit.Millis
 	leaving  bool
+	full     bool // the disk is nearly full: no new configuration is taken here
+	roomAt   unit.Millis
 	once     sync.Once
 	beats    map[string]unit.Millis // workers, and when each was heard here
 	tendAt   unit.Millis
@@ -511,6 +513,13 @@
 		d.tendAt = now + 400
 		d.tend(now)
 	}
+	if due(d.roomAt) {
+		d.roomAt = now + 1000
+		if d.full = d.set.DiskTight(d.full); d.full {
+			d.ch.Squeeze()
+			unit.Log("disk-near-full", "limit_mb", d.set.DiskMB)
+		}
+	}
 	if due(d.dutyAt) {
 		d.dutyAt = now + 250
 		d.duties(now)
@@ -631,6 +640,11 @@
 func (d *Daemon) wait(c Command, wait time.Duration, got func(Result, bool)) {
 	done := make(chan struct{})
 	d.actor.Do(func() {
+		if d.full && c.Verb == Put {
+			got(0, false) // another node may have room
+			close(done)
+			return
+		}
 		d.Ask(c, unit.Millis(wait/time.Millisecond), func(r Result, ok bool) {
 			got(r, ok)
 			close(done)
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -48,7 +48,8 @@
 	strange   map[tale.Holder]unit.Millis // seats of lives the news do not name
 	idle      map[unit.Group]unit.Millis  // replicas this store is no longer to hold
 	leaving   bool
-	full      bool // the disk is nearly full: nothing new is taken
+	full      bool // disk or memory is nearly full: nothing new is taken
+	diskTight bool
 	kin       *kin.Watch
 	queue     *dispatch.Host // of a deployment that takes in messages
 }
@@ -578,22 +579,16 @@
 // snapshots and compaction bring it below 75%; past 45% of the memory (live
 // objects; the collector needs the rest) until history ages out to 40%.
 func (d *Daemon) room() {
-	disk := tight(vault.Size(d.set.DataDir), int64(d.set.DiskMB)<<20, 85, 75, d.full)
-	if disk {
+	d.diskTight = d.set.DiskTight(d.diskTight)
+	if d.diskTight {
 		d.ch.Squeeze()
 		unit.Log("disk-near-full", "limit_mb", d.set.DiskMB)
 	}
-	memory := tight(ground.Heap(), int64(d.set.MemoryMB)<<20, 45, 40, d.full)
+	memory := ground.Tight(ground.Heap(), int64(d.set.MemoryMB)<<20, 45, 40, d.full)
 	if memory {
 		unit.Log("memory-near-full", "limit_mb", d.set.MemoryMB)
 	}
-	d.full = disk || memory
-}
-
-// tight tells whether a bound is near: above high percent of it, and then until
-// low percent.
-func tight(used, limit int64, high, low int64, was bool) bool {
-	return limit > 0 && (used*100 > limit*high || was && used*100 > limit*low)
+	d.full = d.diskTight || memory
 }
 
 // duties are done by each group's leader, under its epoch.
--- a/internal/vault/check.go
+++ b/internal/vault/check.go
@@ -31,6 +31,7 @@
 // Check looks through the folder of a process that does not run, and changes
 // nothing there.
 func Check(dir string) (f Findings) {
+	f = Findings{Faults: []string{}, Notes: []string{}}
 	bad := func(s string, x ...any) { f.Faults = append(f.Faults, fmt.Sprintf(s, x...)) }
 	note := func(s string, x ...any) { f.Notes = append(f.Notes, fmt.Sprintf(s, x...)) }
 	used, free, err := Room(dir)
