--- a/internal/vault/layer_test.go
+++ b/internal/vault/layer_test.go
@@ -218,9 +218,10 @@
 	}
 	if w.d.room > 0 && w.d.room <= len(b) {
 		w.f.data = append(w.f.data, b[:w.d.room]...)
-		w.d.full = true
+		n := w.d.room
+		w.d.full, w.d.room = true, 0
 		close(w.d.filled)
-		return w.d.room, errFull
+		return n, errFull
 	}
 	if w.d.room > 0 {
 		w.d.room -= len(b)
--- a/internal/vault/names_test.go
+++ b/internal/vault/names_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"sync"
 	"testing"
+	"time"
 
 	"oxbowdeck/internal/accord"
 	"oxbowdeck/internal/unit"
@@ -27,7 +28,7 @@
 func TestNamesLostOneByOne(t *testing.T) {
 	o := options(false)
 	o.WriteBuffer, o.CompactionTableSize, o.CompactionL0Trigger, o.CompactionTotalSize = 24<<10, 16<<10, 2, 64<<10
-	told := 0
+	told, fills := 0, 0
 	for seed := int64(1); seed <= 24; seed++ {
 		l := newLayer(seed)
 		l.strict = seed%2 == 0
@@ -37,6 +38,18 @@
 		for life := 0; life < 5; life++ {
 			l.mu.Lock()
 			l.left, l.cut = 1+rng.Intn(700), make(chan struct{})
+			if seed%4 == 0 { // full for a while, at any byte: of a journal, a table, a manifest
+				l.room, l.filled = 1+rng.Intn(400<<10), make(chan struct{})
+				go func(cut, filled chan struct{}) {
+					select {
+					case <-cut:
+					case <-filled:
+						time.Sleep(20 * time.Millisecond)
+						l.fill(false)
+					}
+				}(l.cut, l.filled)
+				fills++
+			}
 			l.mu.Unlock()
 			ctx, end := context.WithCancel(t.Context())
 			go func() { <-l.cut; end() }()
@@ -53,7 +66,7 @@
 		}
 		told += len(st.entries[0]) + len(st.entries[256])
 	}
-	if told < 1000 {
+	if told < 1000 || fills < 20 {
 		t.Fatalf("only %d writes were confirmed", told)
 	}
 }
