While more than a bound waits for the disk, nothing more is taken: tested

Without the check on frames TestDiskBehind says 'taken while the disk is behind: epoch 5', without that on requests 'epoch 0, not the leader'.

--- a/internal/choir/gift_test.go
+++ b/internal/choir/gift_test.go
@@ -220,3 +220,26 @@
 		}
 	}
 }
+
+// TestDiskBehind: while more waits for the disk than a bound, no entry is taken
+// and none is asked for; afterwards all is as before.
+func TestDiskBehind(t *testing.T) {
+	self, lead := accord.Member{Num: 1, Node: free(t)}, accord.Member{Num: 9, Node: "127.0.0.1:1"}
+	ch := begin(t, self, []accord.Member{lead, self}, &tally{})
+	core := ch.Parts[7].Core
+	b, err := cbor.Marshal(accord.Msg{Kind: accord.Accept, Group: 7, From: 9, Ballot: unit.MakeBallot(5, 9), Slot: 1, Val: nil})
+	if err != nil {
+		t.Fatal(err)
+	}
+	synced := make(chan struct{})
+	ch.Vault.Save(8, []accord.Record{{Entry: &accord.Entry{Slot: 1, Val: make([]byte, behindMost)}}}, func() { close(synced) })
+	ch.Frame(lead.Node, ch.Kind, b)
+	if err := ch.Submit(7, accord.Request{}, false); core.Promised() != 0 || !errors.Is(err, accord.ErrFull) {
+		t.Fatalf("taken while the disk is behind: epoch %d, %v", core.Promised().Round(), err)
+	}
+	<-synced
+	ch.Frame(lead.Node, ch.Kind, b)
+	if err := ch.Submit(7, accord.Request{}, false); core.Promised().Round() != 5 || errors.Is(err, accord.ErrFull) {
+		t.Fatalf("not taken afterwards: epoch %d, %v", core.Promised().Round(), err)
+	}
+}
