--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -313,6 +313,12 @@
 		v.mu.Unlock()
 		size := 0
 		var b leveldb.Batch
+		write := func() {
+			if b.Len() > 0 {
+				v.sure(func() error { return v.db.Write(&b, &opt.WriteOptions{Sync: true}) })
+				b.Reset()
+			}
+		}
 		for _, j := range all {
 			switch {
 			case j.snap != nil:
@@ -324,17 +330,16 @@
 						n, next = n-1, 0
 					}
 				}
-				// synced: rows of a replica that ended must not come back among those of
-				// the next one here
+				// after what was saved before, and synced: rows of a replica that ended
+				// must not come back among those of the next one here
+				write()
 				v.sure(func() error { return v.drop(key(j.group, 0, 0), key(j.group, 255, 0), &opt.WriteOptions{Sync: true}) })
 			default:
 				put(&b, j)
 				size += j.size()
 			}
 		}
-		if b.Len() > 0 {
-			v.sure(func() error { return v.db.Write(&b, &opt.WriteOptions{Sync: true}) })
-		}
+		write()
 		v.mu.Lock()
 		v.behind -= size
 		v.mu.Unlock()
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -164,3 +164,22 @@
 		t.Fatalf("taken: %v", err)
 	}
 }
+
+// TestForgetInOrder: what was saved of a replica just before it ended goes with it.
+func TestForgetInOrder(t *testing.T) {
+	v := newLayer(1).open(t)
+	defer v.Close()
+	done := make(chan bool, 3)
+	then := func() { done <- true }
+	v.mu.Lock() // all in one turn
+	v.jobs = append(v.jobs, job{group: 9, recs: []accord.Record{entry(1, 5, "a")}, then: then}, job{group: 9, forget: true, then: then},
+		job{group: 8, recs: []accord.Record{entry(1, 5, "b")}, then: then})
+	v.mu.Unlock()
+	v.nudge()
+	for range 3 {
+		<-done
+	}
+	if all, err := v.Groups(); err != nil || len(all) != 1 || all[0] != 8 {
+		t.Fatalf("groups %v, %v", all, err)
+	}
+}
--- a/internal/vault/wait_test.go
+++ b/internal/vault/wait_test.go
@@ -175,3 +175,22 @@
 	soon(t, "a batch of 3 MB", done)
 	v.Close()
 }
+
+// TestStalledAtTheEnd: a disk that holds a call up does not hold the end up.
+func TestStalledAtTheEnd(t *testing.T) {
+	l := newLayer(5)
+	d := disk{l, 0}
+	hold := make(chan struct{})
+	v, err := openWith(t.Context(), "layer", func() (*tables, error) {
+		return openFiles(&folder{Storage: d, torn: d.names, names: func() error { <-hold; return nil }}, options(false))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.Save(0, []accord.Record{entry(1, 5, "a")}, func() {})
+	closed := make(chan error, 1)
+	go func() { v.Close(); closed <- nil }()
+	soon(t, "close", closed)
+	close(hold)
+	<-v.done
+}
