--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -29,6 +29,9 @@
 	vault *vault.Vault
 	kin   *kin.Watch
 	once  sync.Once
+
+	full   bool // the disk is nearly full: no new configuration is taken here
+	roomAt unit.Millis
 }
 
 // Bounds of the control group's engine; the daemon's defaults, set by tuning.*.
@@ -168,7 +171,14 @@
 	d.ctl.At(unit.Steady())
 	wait := d.ch.Step()
 	now := unit.Steady()
-	next := min(d.ctl.Tick(now), d.kin.Step(now))
+	if now >= d.roomAt {
+		d.roomAt = now + 1000
+		if d.full = d.set.DiskTight(d.full); d.full {
+			d.ch.Squeeze()
+			unit.Log("disk-near-full", "limit_mb", d.set.DiskMB)
+		}
+	}
+	next := min(d.ctl.Tick(now), d.kin.Step(now), d.roomAt)
 	return max(min(wait, (next-now).Span()), time.Millisecond)
 }
 
@@ -198,6 +208,10 @@
 func (d *Daemon) ask(cmd Command, wait time.Duration, got func(Result)) {
 	d.call(func(now unit.Millis, done func()) {
 		d.ctl.At(now)
+		if d.full && cmd.Verb == Put {
+			done() // another node may have room
+			return
+		}
 		d.ctl.Ask(cmd, unit.Millis(wait/time.Millisecond), func(r Result, ok bool) {
 			if ok {
 				got(r)
