--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -58,6 +58,12 @@
 				"a takes accepted of d/4 epoch 1.1 slot 3", "a is given A", "d takes accept of a/1 epoch 1.1 slot 4 commit 3 A", "a takes accepted of d/4 epoch 1.1 slot 4",
 				"b takes accept of a/1 epoch 1.1 slot 1 seats a/1 b/2 d/4", "b takes accept of a/1 epoch 1.1 slot 2 commit 1 no-op"}
 		}), false, true, true},
+		{small("a snapshot from another replica", 100000, func(p *Plan) {
+			p.Commands, p.Mute, p.Most[Power], p.Most[Doubt] = 3, []accord.Kind{accord.Level, accord.Nack}, 1, 1
+			p.Path = []string{"a is given A", "a syncs", "c takes accept of a/1 epoch 1.1 slot 1 A", "c syncs", "a takes accepted of c/3 epoch 1.1 slot 1",
+				"a keeps a snapshot", "a syncs", "b takes beat of a/1 epoch 1.1 commit 1", "a takes fetch of b/2 slot 1", "b takes snapshot of a up to 1",
+				"a is given B", "a syncs", "b takes accept of a/1 epoch 1.1 slot 2 commit 1 B", "b syncs past a snapshot"}
+		}), false, false, false},
 		{small("power lost", 100000, func(p *Plan) { p.Commands, p.Most[Doubt], p.Most[Power] = 2, 1, 1 }), false, true, false},
 		{small("power lost twice, walks", 30000, func(p *Plan) { p.Commands, p.Most[Doubt], p.Most[Power], p.Most[Again], p.Walks = 2, 3, 2, 1, 1 }), false, true, false},
 		{small("hand-over", 100000, func(p *Plan) { p.Commands, p.Instant, p.Most[Drain], p.Most[Doubt] = 2, true, 1, 1 }), false, true, false},
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -39,7 +39,7 @@
 
 const (
 	Take   Op = iota // a message arrives
-	Sync             // the disk completes its oldest write
+	Sync             // the disk completes its oldest write, or the first behind a snapshot
 	Doubt            // the timer of one that does not lead fires
 	Beat             // a leader's timer fires
 	Kill             // the process dies; its files stay as they were written
@@ -340,6 +340,10 @@
 		t += " " + e.parcels[s.Arg].text
 	case Submit, Again:
 		t += " " + string(e.orders[s.Arg].Data)
+	case Sync:
+		if s.Arg > 0 {
+			t += " past a snapshot"
+		}
 	case Power:
 		t += fmt.Sprintf(", keeps %b of %d writes", s.Arg, len(w.reps[s.At].pending))
 	case pass:
@@ -397,7 +401,7 @@
 		}
 		n.core.Take(n.now, w.reps[p.from].self.Node, p.msg)
 	case Sync:
-		e.sync(n, o)
+		e.sync(n, o, int(s.Arg))
 	case Doubt, Beat:
 		wake := n.core.NextWake()
 		if wake >= soon(n.now) {
@@ -451,9 +455,20 @@
 // soon bounds a wake: beyond it a replica does not want to be woken.
 func soon(now unit.Millis) unit.Millis { return now + 1<<30 }
 
-func (e *explorer) sync(n *replica, o *outcome) {
-	x := n.pending[0]
-	n.pending = n.pending[1:]
+// passes gives the first write that need not wait for the snapshots before it,
+// which take many turns; 0: none.
+func passes(pending []write) int {
+	for i, x := range pending {
+		if x.Snap == nil {
+			return i
+		}
+	}
+	return 0
+}
+
+func (e *explorer) sync(n *replica, o *outcome, i int) {
+	x := n.pending[i]
+	n.pending = slices.Delete(n.pending, i, i+1)
 	n.disk = n.disk.with(x)
 	e.recorded(n, x, o)
 	if x.Snap == nil {
@@ -501,7 +516,7 @@
 		if !e.plan.Instant || len(n.pending) == 0 {
 			return
 		}
-		e.sync(n, o)
+		e.sync(n, o, 0)
 	}
 }
 
@@ -609,6 +624,9 @@
 			}
 		}
 		may(Sync, len(r.pending) > 0, 0)
+		if k := passes(r.pending); k > 0 {
+			may(Sync, true, int32(k))
+		}
 		may(Doubt, !lead, 0)
 		may(Beat, lead, 0)
 		may(Kill, true, 0)
