--- a/internal/explore/level_test.go
+++ b/internal/explore/level_test.go
@@ -12,32 +12,29 @@
 		p.Commands, p.Most[Beat], p.Most[Leave], p.Most[Wipe], p.Most[Power] = 1, 4, 1, 1, 2
 	})
 	path := []string{
+		"a is asked for the membership",
 		"a is given A",
 		"a syncs",
-		"c takes accept of a/1 epoch 1.1 slot 1 A",
-		"c syncs",
-		"a takes accepted of c/3 epoch 1.1 slot 1",
-		"a is asked for the membership",
 		"a syncs",
-		"c takes accept of a/1 epoch 1.1 slot 2 commit 1 seats a/1 b/2 d/4",
+		"c takes accept of a/1 epoch 1.1 slot 1 seats a/1 b/2 d/4",
+		"c takes accept of a/1 epoch 1.1 slot 2 A",
 		"c syncs",
+		"c syncs",
+		"a takes accepted of c/3 epoch 1.1 slot 1",
 		"a takes accepted of c/3 epoch 1.1 slot 2",
 		"a syncs",
-		"c takes accept of a/1 epoch 1.1 slot 3 commit 2 no-op",
-		"c syncs",
-		"a takes accepted of c/3 epoch 1.1 slot 3",
-		"b takes accept of a/1 epoch 1.1 slot 4 commit 2 no-op",
+		"b takes accept of a/1 epoch 1.1 slot 3 commit 1 no-op",
 		"b syncs",
-		"a takes accepted of b/2 epoch 1.1 slot 4",
-		"b takes beat of a/1 epoch 1.1 commit 4 yes",
+		"a takes accepted of b/2 epoch 1.1 slot 3",
+		"b takes beat of a/1 epoch 1.1 commit 3 yes",
 		"a takes fetch of b/2 slot 1",
-		"b takes feed of a/1 epoch 1.1 commit 4 [1 1.1 A decided] [2 1.1 seats a/1 b/2 d/4 decided] [3 1.1 no-op decided] [4 1.1 no-op decided]",
-		"d takes beat of a/1 epoch 1.1 commit 4 yes",
+		"b takes feed of a/1 epoch 1.1 commit 3 [1 1.1 seats a/1 b/2 d/4 decided] [2 1.1 A decided] [3 1.1 no-op decided]",
+		"d takes beat of a/1 epoch 1.1 commit 3 yes",
 		"a takes fetch of d/4 slot 1",
-		"d takes feed of a/1 epoch 1.1 commit 4 [1 1.1 A decided] [2 1.1 seats a/1 b/2 d/4 decided] [3 1.1 no-op decided] [4 1.1 no-op decided]",
+		"d takes feed of a/1 epoch 1.1 commit 3 [1 1.1 seats a/1 b/2 d/4 decided] [2 1.1 A decided] [3 1.1 no-op decided]",
 		"a beats",
-		"b takes beat of a/1 epoch 1.1 commit 4 yes",
-		"d takes beat of a/1 epoch 1.1 commit 4 yes",
+		"b takes beat of a/1 epoch 1.1 commit 3 yes",
+		"d takes beat of a/1 epoch 1.1 commit 3 yes",
 	}
 	try := func(more ...string) (string, error) { return Walk(p, append(path[:len(path):len(path)], more...)) }
 	if rule, err := try("a takes level of b/2 epoch 1.1", "a takes level of d/4 epoch 1.1"); rule != "" || err != nil {
@@ -48,8 +45,8 @@
 	}
 	// once it is there, c may go, and a's disk may be lost: the others know by
 	// themselves that the membership without c is in force
-	rule, err := try("b syncs", "b takes beat of a/1 epoch 1.1 commit 4 yes", "b syncs", "a takes level of b/2 epoch 1.1 commit 4",
-		"d syncs", "d takes beat of a/1 epoch 1.1 commit 4 yes", "d syncs", "a takes level of d/4 epoch 1.1 commit 4",
+	rule, err := try("b syncs", "b takes beat of a/1 epoch 1.1 commit 3 yes", "b syncs", "a takes level of b/2 epoch 1.1 commit 3",
+		"d syncs", "d takes beat of a/1 epoch 1.1 commit 3 yes", "d syncs", "a takes level of d/4 epoch 1.1 commit 3",
 		"c is gone for good", "a loses its disk", "b loses power, keeps 0 of 0 writes", "d loses power, keeps 0 of 0 writes", "then fairly to the end")
 	if rule != "" || err != nil {
 		t.Error(rule, err)
