--- a/internal/edict/control_test.go
+++ b/internal/edict/control_test.go
@@ -181,3 +181,50 @@
 		t.Error("it stays for ever")
 	}
 }
+
+// TestRegisteringIsAWord: a worker that registers long after its leader's duty began
+// has its beats from then on, before it is taken for silent.
+func TestRegisteringIsAWord(t *testing.T) {
+	p, seats := norms(t, 1)
+	b := &bench{}
+	c := NewControl(Conf{Self: *p.find("n0"), Lease: 1500, Beat: 1000, WorkerBeats: 4, Rand: func(int64) int64 { return 0 }}, b, nil, nil)
+	c.state = p.State
+	core := accord.New(accord.Conf{Self: seats[0], Wnd: 8, Bsz: 1, WndBytes: 1 << 20, OpenBytes: 1 << 20, Beat: 200, Patience: 700}, accord.Boot{Eras: []accord.Era{{Seats: seats}}}, 0)
+	c.Begin(0, core)
+	at := unit.Millis(800)
+	run := func(until unit.Millis) {
+		for ; at < until; at += 50 {
+			core.Tick(at)
+			for e := core.Drain(); len(e.Saves)+len(e.Decided) > 0; e = core.Drain() {
+				core.Synced(at, e.Token)
+				for _, d := range e.Decided {
+					c.At(at)
+					c.Apply(d)
+				}
+			}
+			c.Tick(at)
+			for _, x := range b.put {
+				raw, err := cbor.Marshal(x)
+				if err != nil {
+					t.Fatal(err)
+				}
+				core.Submit(at, accord.Request{ID: accord.ID{Origin: "x", Seq: uint64(at)*100 + uint64(x.Verb)}, Data: raw}, false)
+			}
+			b.put = nil
+		}
+	}
+	gone := func() bool { _, w := c.state.worker("w"); return w == nil || w.Gone }
+	run(10000)
+	if _, ok := c.term(); !ok {
+		t.Fatal("its term did not begin")
+	}
+	c.Ask(Command{Verb: Register, Worker: &rule.Worker{ID: "w", Service: "s", Seq: 1}}, 1000, func(Result, bool) {})
+	run(13800)
+	if gone() {
+		t.Error("ended before it was silent for four beats")
+	}
+	run(15500)
+	if !gone() {
+		t.Error("silent for five beats, and not ended")
+	}
+}
