--- a/internal/maze/fleet_test.go
+++ b/internal/maze/fleet_test.go
@@ -1,9 +1,6 @@
 package maze
 
 import (
-	"fmt"
-	"os"
-	"strconv"
 	"testing"
 
 	"github.com/anishathalye/porcupine"
@@ -57,39 +54,22 @@
 }
 
 func fleets(t *testing.T, n int, f func(FleetPlan) FleetPlan) {
-	if v, err := strconv.Atoi(os.Getenv("MAZE_SEEDS")); err == nil {
-		n = v
-	}
-	from, to := int64(1), int64(n)
-	if s := os.Getenv("MAZE_SEED"); s != "" {
-		v, err := strconv.ParseInt(s, 10, 64)
-		if err != nil {
-			t.Fatal(err)
+	each(t, n, func(t *testing.T, seed int64, log func(string), again string) {
+		p := f(fleet(seed))
+		p.Log = log
+		w := NewFleet(p)
+		if err := w.Run(); err != nil {
+			t.Fatalf("%v\n%s", err, again)
 		}
-		from, to = v, v
-	}
-	for s := from; s <= to; s++ {
-		t.Run(fmt.Sprint(s), func(t *testing.T) {
-			t.Parallel()
-			p := f(fleet(s))
-			if os.Getenv("MAZE_SEED") != "" {
-				p.Log = func(l string) { t.Log(l) }
-			}
-			w := NewFleet(p)
-			again := fmt.Sprintf("again: MAZE_SEED=%d go test ./internal/maze -run '%s' -v", s, t.Name())
-			if err := w.Run(); err != nil {
-				t.Fatalf("%v\n%s", err, again)
-			}
-			if !linearizable(w) {
-				t.Fatalf("seed %d: orders and reads are not linearizable\n%s", s, again)
-			}
-			if w.Configs < 10 || w.Reads < 5 || w.Elections < 1 || w.Begun < 10 {
-				t.Fatalf("seed %d: nothing happened: %d configurations, %d reads, %d elections, %d lives begun", s, w.Configs, w.Reads, w.Elections, w.Begun)
-			}
-			t.Logf("decided %d, elections %d, configurations %d, repeats %d, reseats %d, departed %d, lives begun %d, asked %d",
-				w.Decided, w.Elections, w.Configs, w.Repeats, w.Reseats, w.Departed, w.Begun, len(w.History))
-		})
-	}
+		if !linearizable(w) {
+			t.Fatalf("seed %d: orders and reads are not linearizable\n%s", seed, again)
+		}
+		if w.Configs < 10 || w.Reads < 5 || w.Elections < 1 || w.Begun < 10 {
+			t.Fatalf("seed %d: nothing happened: %d configurations, %d reads, %d elections, %d lives begun", seed, w.Configs, w.Reads, w.Elections, w.Begun)
+		}
+		t.Logf("decided %d, elections %d, configurations %d, repeats %d, reseats %d, departed %d, lives begun %d, asked %d",
+			w.Decided, w.Elections, w.Configs, w.Repeats, w.Reseats, w.Departed, w.Begun, len(w.History))
+	})
 }
 
 // TestControlGroup: three of four control machines found the group.
--- a/internal/maze/maze_test.go
+++ b/internal/maze/maze_test.go
@@ -20,14 +20,16 @@
 	}
 }
 
-// seeds are fixed; MAZE_SEED runs one again with its steps printed.
-func seeds(t *testing.T, n int, f func(Plan) Plan) {
+// each runs fixed seeds side by side; MAZE_SEEDS runs more of them, MAZE_SEED one
+// again with its steps printed.
+func each(t *testing.T, n int, run func(t *testing.T, seed int64, log func(string), again string)) {
 	if v, err := strconv.Atoi(os.Getenv("MAZE_SEEDS")); err == nil {
 		n = v
 	}
 	from, to := int64(1), int64(n)
-	if s := os.Getenv("MAZE_SEED"); s != "" {
-		v, err := strconv.ParseInt(s, 10, 64)
+	one := os.Getenv("MAZE_SEED")
+	if one != "" {
+		v, err := strconv.ParseInt(one, 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -36,21 +38,29 @@
 	for s := from; s <= to; s++ {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			p := f(plan(s))
-			if os.Getenv("MAZE_SEED") != "" {
-				p.Log = func(l string) { t.Log(l) }
-			}
-			w := New(p)
-			if err := w.Run(); err != nil {
-				t.Fatalf("%v\nagain: MAZE_SEED=%d go test ./internal/maze -run '%s' -v", err, s, t.Name())
-			}
-			if w.Acked < 100 || w.Elections < 1 || w.Configs < 1 || w.Contacts < 100 {
-				t.Fatalf("seed %d: nothing happened: %d accepted, %d elections", s, w.Acked, w.Elections)
+			var log func(string)
+			if one != "" {
+				log = func(l string) { t.Log(l) }
 			}
+			run(t, s, log, fmt.Sprintf("again: MAZE_SEED=%d go test ./internal/maze -run '%s' -v", s, t.Name()))
 		})
 	}
 }
 
+func seeds(t *testing.T, n int, f func(Plan) Plan) {
+	each(t, n, func(t *testing.T, seed int64, log func(string), again string) {
+		p := f(plan(seed))
+		p.Log = log
+		w := New(p)
+		if err := w.Run(); err != nil {
+			t.Fatalf("%v\n%s", err, again)
+		}
+		if w.Acked < 100 || w.Elections < 1 || w.Configs < 1 || w.Contacts < 100 {
+			t.Fatalf("seed %d: nothing happened: %d accepted, %d elections", seed, w.Acked, w.Elections)
+		}
+	})
+}
+
 func TestAllTroubles(t *testing.T) { seeds(t, 40, func(p Plan) Plan { return p }) }
 
 func TestPowerAndLostDisks(t *testing.T) {
