A leader forgets a membership it was asked for in an earlier duty

Cause: Reseat keeps the membership until the window has room; a leader deposed meanwhile kept it, and proposed it when it led again, however old: next to a change that it repeats (two under way at once), or undoing changes decided since, which can give a seat back to a number that was replaced.

Change: a duty begins with nothing asked for.

Measured: TestAskedInAnEarlierDuty holds the path; without the change it says "one change at a time: memberships are chosen in instances 3 and 4, WND is 2".

--- a/internal/accord/elect.go
+++ b/internal/accord/elect.go
@@ -232,7 +232,7 @@
 	c.leader, c.leadNode = c.promised, c.conf.Self.Node
 	c.next = c.commit + 1
 	c.repeats = nil
-	c.seating = 0
+	c.seatNext, c.seating = nil, 0 // what an earlier duty was asked for is void
 	for s := c.commit + 1; s <= top; s++ {
 		c.repeats = append(c.repeats, Entry{Slot: s, Val: best[s].Val})
 		if v, err := decode(best[s].Val); err == nil && len(v.Seats) > 0 {
--- a/internal/explore/level_test.go
+++ b/internal/explore/level_test.go
@@ -52,3 +52,35 @@
 		t.Error(rule, err)
 	}
 }
+
+// TestAskedInAnEarlierDuty walks the path by which a leader that was deposed with
+// a change of membership still waiting for the window proposed it when it led
+// again, next to the one that was decided meanwhile.
+func TestAskedInAnEarlierDuty(t *testing.T) {
+	p := small("", 0, func(p *Plan) {
+		swap(p)
+		p.Commands, p.Instant, p.Most[Doubt], p.Most[Reseat] = 2, true, 2, 2
+	})
+	rule, err := Walk(p, []string{
+		"a is given A",
+		"a is given B",
+		"a is asked for the membership",
+		"c doubts",
+		"b doubts",
+		"c takes canvass of b/2 epoch 1.1",
+		"b takes canvass of c/3 epoch 1.1",
+		"b takes favor of c/3 epoch 1.1 yes",
+		"a takes prepare of b/2 epoch 2.2 slot 1",
+		"b takes promise of a/1 epoch 2.2 [1 1.1 A] [2 1.1 B]",
+		"d takes beat of b/2 epoch 2.2 yes",
+		"c takes accept of b/2 epoch 2.2 slot 1 A",
+		"b takes level of d/4 epoch 2.2",
+		"b is asked for the membership",
+		"b takes accepted of c/3 epoch 2.2 slot 1",
+		"c takes accept of b/2 epoch 2.2 slot 3 commit 1 seats a/1 b/2 d/4",
+		"then fairly to the end, without b",
+	})
+	if rule != "" || err != nil {
+		t.Error(rule, err)
+	}
+}
