--- a/internal/edict/daemon.go
+++ b/internal/edict/daemon.go
@@ -515,8 +515,11 @@
 	}
 	if due(d.roomAt) {
 		d.roomAt = now + 1000
-		if d.full = d.set.DiskTight(d.full); d.full {
+		was := d.full
+		if d.full = d.set.DiskTight(was); d.full {
 			d.ch.Squeeze()
+		}
+		if d.full && !was {
 			unit.Log("disk-near-full", "limit_mb", d.set.DiskMB)
 		}
 	}
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -579,9 +579,11 @@
 // snapshots and compaction bring it below 75%; past 45% of the memory (live
 // objects; the collector needs the rest) until history ages out to 40%.
 func (d *Daemon) room() {
-	d.diskTight = d.set.DiskTight(d.diskTight)
-	if d.diskTight {
+	was := d.diskTight
+	if d.diskTight = d.set.DiskTight(was); d.diskTight {
 		d.ch.Squeeze()
+	}
+	if d.diskTight && !was {
 		unit.Log("disk-near-full", "limit_mb", d.set.DiskMB)
 	}
 	memory := ground.Tight(ground.Heap(), int64(d.set.MemoryMB)<<20, 45, 40, d.full)
