--- a/internal/maze/fleet.go
+++ b/internal/maze/fleet.go
@@ -41,7 +41,7 @@
 )
 
 // FleetTroubles are all that a run of control machines may draw.
-var FleetTroubles = []string{"cut", "cut", "cut-leader", "cut-leader", "one-way", "pair", "freeze", "freeze-leader",
+var FleetTroubles = []string{"cut", "cut", "cut-leader", "cut-leader", "one-way", "pair", "freeze", "freeze-leader", "asleep",
 	"crash", "power", "wipe", "slow", "stall", "full", "herd", "replace", "planned", "restart"}
 
 // machine is one that serves control.
--- a/internal/maze/strike.go
+++ b/internal/maze/strike.go
@@ -95,7 +95,10 @@
 		if l := f.leader(); room >= 2 && l != nil && l != m {
 			f.cut([]*machine{m, l}, false, long)
 		}
-	case "freeze", "freeze-leader":
+	case "freeze", "freeze-leader", "asleep":
+		if kind == "asleep" { // while hundreds of instances pass
+			long = f.between(25000, 40000)
+		}
 		m.frozen = true
 		f.after(long, func() { m.frozen, m.lost = false, f.now+catchUp })
 	case "slow":
