--- a/cmd/norm/tools.go
+++ b/cmd/norm/tools.go
@@ -148,7 +148,7 @@
 func contact(s edict.Status) string {
 	switch {
 	case s.ContactMs < 0:
-		return "it has not been in touch with a majority in this life: all of this may be old"
+		return "it has not been in touch with a majority since it began or last led: all of this may be old"
 	case s.ContactMs > s.LeaseMs:
 		return fmt.Sprintf("last in touch with a majority %d ms ago, its lease of %d ms is over: all of this may be old, and it answers nothing from it", s.ContactMs, s.LeaseMs)
 	case len(s.Members) == 0:
