Enrolling reads straight on; a line needs no peer

Two closures in one another wrapped each answer; the three places now say what they do. rule.Line asked for a Peer that nobody called. No behaviour changes; all checks pass.

--- a/internal/edict/control_test.go
+++ b/internal/edict/control_test.go
@@ -39,7 +39,6 @@
 func (b *bench) Ring([]rule.Node)                   {}
 func (b *bench) Log(string, ...any)                 {}
 func (b *bench) SendRaw(k lane.Kind, _ []byte) bool { b.lines = append(b.lines, k); return true }
-func (b *bench) Peer() lane.Hello                   { return lane.Hello{Node: "x"} }
 
 type back struct{ *bench }
 
--- a/internal/edict/enrol.go
+++ b/internal/edict/enrol.go
@@ -25,31 +25,33 @@
 	n := x.Node
 	o := c.state.find(n.Addr)
 	listed := o != nil && o.Life == n.Life && o.Disk == n.Disk && !o.Gone
-	told := func(give func()) func(Result, bool) {
-		return func(_ Result, ok bool) {
-			if ok {
-				give()
-			}
-		}
-	}
-	now := func(give func()) {
-		c.Read(enrolWait, func(ok bool) { told(give)(0, ok) })
-	}
 	switch {
 	case n.Duty == rule.Edge && !x.Whole:
 		if x.Seq == 0 {
-			now(func() { c.where(l) })
+			c.Read(enrolWait, func(ok bool) {
+				if ok {
+					c.where(l)
+				}
+			})
 		}
 		if !listed {
 			c.Ask(Command{Verb: Enroll, Node: n}, enrolWait, func(Result, bool) {})
 		}
 	case listed:
-		now(func() { c.heir(l, n, x.Seq) })
+		c.Read(enrolWait, func(ok bool) {
+			if ok {
+				c.heir(l, n, x.Seq)
+			}
+		})
 	default:
 		if x.Seq == 0 && c.state.NewsAt > 0 && n.Duty != rule.Norm && c.current() {
 			l.Send(rule.KindNews, c.state.News().Since(0))
 		}
-		c.Ask(Command{Verb: Enroll, Node: n}, enrolWait, told(func() { c.heir(l, n, x.Seq) }))
+		c.Ask(Command{Verb: Enroll, Node: n}, enrolWait, func(_ Result, ok bool) {
+			if ok {
+				c.heir(l, n, x.Seq)
+			}
+		})
 	}
 }
 
--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -150,7 +150,6 @@
 type Line interface {
 	Send(lane.Kind, any) bool
 	SendRaw(lane.Kind, []byte) bool
-	Peer() lane.Hello
 }
 
 // Give sends a link what changed after seq, and tells how new its news are then.
