--- a/internal/maze/fleet.go
+++ b/internal/maze/fleet.go
@@ -1,7 +1,6 @@
 package maze
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"sort"
@@ -79,8 +78,6 @@
 	news func(rule.News) // a process of the data plane hears here
 }
 
-func (l *line) Peer() lane.Hello { return lane.Hello{Node: l.to} }
-
 func (l *line) Send(k lane.Kind, v any) bool {
 	b, err := cbor.Marshal(v)
 	return err == nil && l.SendRaw(k, b)
@@ -111,6 +108,7 @@
 // workers and processes of the data plane that turn to any of them.
 type Fleet struct {
 	loop
+	ledger
 	plan     FleetPlan
 	machines []*machine
 	founders []accord.Member
@@ -120,25 +118,21 @@
 	lives    uint64
 	healed   bool
 
-	chosen  map[unit.Slot][]byte
-	digests map[unit.Slot][]byte
-	highs   []high
-	seats   []accord.Member // in force, as the leader has it
-	acked   []high          // configurations acknowledged, and when
+	seats []accord.Member // in force, as the leader has it
+	acked []high          // configurations acknowledged, and when
 
 	History []Order
 	workers []*worker
-	bodies  map[int64][]byte
 
-	Decided, Elections, Configs, Reseats, Begun, Repeats, Departed, Reads int
+	Elections, Configs, Reseats, Begun, Repeats, Departed, Reads int
 
 	leadSeen map[unit.Ballot]bool
 }
 
 // NewFleet founds one.
 func NewFleet(p FleetPlan) *Fleet {
-	f := &Fleet{loop: newLoop(p.Seed, p.Log), plan: p, cuts: map[[2]unit.Node]bool{}, last: map[[2]unit.Node]unit.Millis{},
-		chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{}, bodies: map[int64][]byte{}, leadSeen: map[unit.Ballot]bool{}}
+	f := &Fleet{loop: newLoop(p.Seed, p.Log), ledger: newLedger(), plan: p, cuts: map[[2]unit.Node]bool{}, last: map[[2]unit.Node]unit.Millis{},
+		leadSeen: map[unit.Ballot]bool{}}
 	for i := 0; i < p.Founders+p.Spares; i++ {
 		m := f.machine()
 		if i < p.Founders {
@@ -449,17 +443,7 @@
 		}
 		p.do(func(now unit.Millis) {
 			p.ctl.At(now)
-			for _, x := range done {
-				switch {
-				case x.snap != nil:
-					p.core.Trim(x.snap.slot)
-					if x.came {
-						p.core.Firm()
-					}
-				case len(x.recs) > 0:
-					p.core.Synced(now, x.token)
-				}
-			}
+			synced(p.core, now, done)
 			p.flush()
 		})
 	})
@@ -477,15 +461,9 @@
 }
 
 func (f *Fleet) decided(p *proc, d accord.Decided) {
-	if old, ok := f.chosen[d.Slot]; ok && !bytes.Equal(old, d.Raw) {
-		f.fail("instance %d decided twice, node %s differs", d.Slot, p.m.addr)
+	if !f.agree(&f.loop, p.m.addr, d) {
 		return
 	}
-	if _, ok := f.chosen[d.Slot]; !ok {
-		f.chosen[d.Slot] = append([]byte{}, d.Raw...)
-		f.highs = append(f.highs, high{f.now, d.Slot})
-		f.Decided++
-	}
 	if d.Slot != p.ctl.State().Slot+1 {
 		f.fail("node %s applies %d after %d", p.m.addr, d.Slot, p.ctl.State().Slot)
 	}
@@ -505,20 +483,14 @@
 		if err != nil {
 			f.fail("save: %v", err)
 		}
-		if old, ok := f.digests[d.Slot]; ok && !bytes.Equal(old, b) {
-			f.fail("state at %d differs on node %s", d.Slot, p.m.addr)
-		}
-		f.digests[d.Slot] = b
+		f.alike(&f.loop, p.m.addr, d.Slot, b)
 	}
 }
 
 // look checks what must hold after each step of a process.
 func (f *Fleet) look(p *proc) {
 	if age, ok := p.core.Contact(f.clock(p.m)); ok && !p.m.frozen {
-		i := sort.Search(len(f.highs), func(i int) bool { return f.highs[i].at >= f.now-age })
-		if i > 0 && f.highs[i-1].slot > p.core.Commit() {
-			f.fail("node %s stands at %d, in touch %d ms ago: %d had been decided", p.m.addr, p.core.Commit(), age, f.highs[i-1].slot)
-		}
+		f.inTouch(&f.loop, p.m.addr, age, p.core.Commit())
 	}
 	if p.core.Role() != accord.Leader {
 		return
@@ -550,23 +522,10 @@
 
 // copies checks that everything decided is on enough of the members' disks.
 func (f *Fleet) copies(p *proc, seats []accord.Member, least int, when string) {
-	for s := unit.Slot(1); s <= p.core.Commit(); s++ {
-		n := 0
-		for _, x := range seats {
-			m := f.at(x.Node)
-			if m.num == x.Num && !m.gone && m.disk.has(s, f.chosen[s]) {
-				n++
-			}
+	f.lasts(&f.loop, when, seats, p.core.Commit(), least, func(x accord.Member) *disk {
+		if m := f.at(x.Node); m.num == x.Num && !m.gone {
+			return m.disk
 		}
-		if n < least {
-			f.fail("%s: instance %d of %d is on %d of the disks of %v, wanted %d", when, s, p.core.Commit(), n, seats, least)
-			return
-		}
-	}
-}
-
-// has tells whether a disk holds a decided value.
-func (d *disk) has(s unit.Slot, val []byte) bool {
-	e, ok := d.entries[s]
-	return d.snap != nil && d.snap.slot >= s || ok && bytes.Equal(e.Val, val)
+		return nil
+	})
 }
--- /dev/null
+++ b/internal/maze/ledger.go
@@ -0,0 +1,98 @@
+package maze
+
+import (
+	"bytes"
+	"sort"
+
+	"oxbowdeck/internal/accord"
+	"oxbowdeck/internal/unit"
+)
+
+// ledger is what was decided in a run, and when, as the replicas showed it.
+type ledger struct {
+	chosen  map[unit.Slot][]byte
+	digests map[unit.Slot][]byte // of the state at some instances
+	highs   []high               // how far some replica had decided, and since when
+
+	Decided int
+}
+
+// high is the highest instance decided anywhere, from a moment on.
+type high struct {
+	at   unit.Millis
+	slot unit.Slot
+}
+
+func newLedger() ledger {
+	return ledger{chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{}}
+}
+
+// agree notes what a node decided; false when another was decided before.
+func (l *ledger) agree(w *loop, node unit.Node, d accord.Decided) bool {
+	old, ok := l.chosen[d.Slot]
+	if ok && !bytes.Equal(old, d.Raw) {
+		w.fail("instance %d decided twice, node %s differs", d.Slot, node)
+		return false
+	}
+	if !ok {
+		l.chosen[d.Slot] = append([]byte{}, d.Raw...)
+		l.highs = append(l.highs, high{w.now, d.Slot})
+		l.Decided++
+	}
+	return true
+}
+
+// alike checks a node's saved state at an instance against the others'.
+func (l *ledger) alike(w *loop, node unit.Node, s unit.Slot, state []byte) {
+	if old, ok := l.digests[s]; ok && !bytes.Equal(old, state) {
+		w.fail("state at %d differs on node %s", s, node)
+	}
+	l.digests[s] = state
+}
+
+// inTouch checks that a replica that was in touch with a majority so long ago holds
+// all that had been decided anywhere before.
+func (l *ledger) inTouch(w *loop, node unit.Node, age unit.Millis, commit unit.Slot) {
+	i := sort.Search(len(l.highs), func(i int) bool { return l.highs[i].at >= w.now-age })
+	if i > 0 && l.highs[i-1].slot > commit {
+		w.fail("node %s stands at %d and says it was in touch %d ms ago: %d had been decided", node, commit, age, l.highs[i-1].slot)
+	}
+}
+
+// lasts checks that each instance up to one is on at least so many members' disks;
+// on gives a member's, or nil when that disk is not the member's any more.
+func (l *ledger) lasts(w *loop, when string, seats []accord.Member, to unit.Slot, least int, on func(accord.Member) *disk) {
+	for s := unit.Slot(1); s <= to; s++ {
+		n := 0
+		for _, m := range seats {
+			if d := on(m); d != nil && d.has(s, l.chosen[s]) {
+				n++
+			}
+		}
+		if n < least {
+			w.fail("%s: instance %d of %d is on %d of the disks of %v, wanted %d", when, s, to, n, seats, least)
+			return
+		}
+	}
+}
+
+// has tells whether a disk holds a decided value.
+func (d *disk) has(s unit.Slot, val []byte) bool {
+	e, ok := d.entries[s]
+	return d.snap != nil && d.snap.slot >= s || ok && bytes.Equal(e.Val, val)
+}
+
+// synced tells a replica of writes that its disk has taken.
+func synced(c *accord.Core, now unit.Millis, done []write) {
+	for _, x := range done {
+		switch {
+		case x.snap != nil:
+			c.Trim(x.snap.slot)
+			if x.came {
+				c.Firm()
+			}
+		case len(x.recs) > 0:
+			c.Synced(now, x.token)
+		}
+	}
+}
--- a/internal/maze/maze.go
+++ b/internal/maze/maze.go
@@ -5,7 +5,6 @@
 package maze
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"sort"
@@ -116,6 +115,7 @@
 // World is a run.
 type World struct {
 	loop
+	ledger
 	plan    Plan
 	nodes   []*node
 	seats   []accord.Member // the founding members
@@ -125,10 +125,7 @@
 	joins   unit.Node // takes the seat of leaves, once it is level
 	leaves  unit.Node
 
-	chosen  map[unit.Slot][]byte
-	highs   []high // how far some replica had decided, and since when
 	inForce []accord.Member
-	digests map[unit.Slot][]byte
 	acked   map[key]unit.Pos
 	refused map[key]bool
 	sent    map[key]unit.Topic
@@ -139,17 +136,11 @@
 	onTop  map[int64]int64
 	putSeq uint64
 
-	Decided, Acked, Refused, Elections, Configs, Swaps, Contacts int
+	Acked, Refused, Elections, Configs, Swaps, Contacts int
 
 	leadSeen map[unit.Ballot]bool
 }
 
-// high is the highest instance decided anywhere, from a moment on.
-type high struct {
-	at   unit.Millis
-	slot unit.Slot
-}
-
 type key struct {
 	client unit.Client
 	seq    unit.Seq
@@ -163,7 +154,7 @@
 
 // New makes a world.
 func New(p Plan) *World {
-	w := &World{loop: newLoop(p.Seed, p.Log), plan: p, chosen: map[unit.Slot][]byte{}, digests: map[unit.Slot][]byte{},
+	w := &World{loop: newLoop(p.Seed, p.Log), ledger: newLedger(), plan: p,
 		acked: map[key]unit.Pos{}, refused: map[key]bool{}, sent: map[key]unit.Topic{}, open: map[key]*call{},
 		seqs: map[unit.Client]unit.Seq{}, leadSeen: map[unit.Ballot]bool{}, puts: map[accord.ID]put{}, onTop: map[int64]int64{}}
 	for i := 0; i < p.Voters+p.Learners; i++ {
@@ -317,16 +308,7 @@
 		for _, x := range done {
 			d.apply(x)
 		}
-		for _, x := range done {
-			if x.snap != nil {
-				n.core.Trim(x.snap.slot)
-				if x.came {
-					n.core.Firm()
-				}
-			} else {
-				n.core.Synced(w.clock(n), x.token)
-			}
-		}
+		synced(n.core, w.clock(n), done)
 		d.busy = false
 		if len(d.pending) > 0 {
 			w.sync(n)
@@ -385,7 +367,7 @@
 	s := &snap{slot: n.core.Commit(), eras: append([]accord.Era(nil), n.core.Eras()...), clock: n.state.Clock()}
 	var err, err2 error
 	s.state, err = n.state.Save()
-	s.norm, err2 = cbor.Marshal(n.norm)
+	s.norm, err2 = n.norm.Save()
 	if err != nil || err2 != nil {
 		w.fail("save: %v %v", err, err2)
 	}
@@ -394,7 +376,7 @@
 
 func (n *node) load(s *snap) error {
 	n.norm = &edict.State{}
-	if err := cbor.Unmarshal(s.norm, n.norm); err != nil {
+	if err := n.norm.Load(s.norm); err != nil {
 		return err
 	}
 	return n.state.Load(s.state)
@@ -426,10 +408,7 @@
 		return
 	}
 	w.Contacts++
-	i := sort.Search(len(w.highs), func(i int) bool { return w.highs[i].at >= w.now-age })
-	if i > 0 && w.highs[i-1].slot > n.core.Commit() {
-		w.fail("node %s stands at %d and says it was in touch %d ms ago: %d had been decided", n.member.Node, n.core.Commit(), age, w.highs[i-1].slot)
-	}
+	w.inTouch(&w.loop, n.member.Node, age, n.core.Commit())
 	if n.core.Role() == accord.Leader && age < 300 && !accord.Same(n.core.Seats(), w.inForce) {
 		old := w.inForce
 		w.inForce = append([]accord.Member(nil), n.core.Seats()...)
@@ -440,7 +419,7 @@
 			}
 		}
 		if len(old) > 0 {
-			w.copies(n, with, min(len(old), len(w.inForce))/2+1)
+			w.lasts(&w.loop, "a membership in force", with, n.core.Commit(), min(len(old), len(w.inForce))/2+1, w.diskOf)
 		}
 	}
 	if q := w.plan.Conf.Quorum; q > 0 && n.core.Role() == accord.Leader && age > q+100 {
@@ -448,21 +427,12 @@
 	}
 }
 
-// copies checks, when a membership came into force, that all that is decided is on
-// enough of its members' disks to outlast what the group is to bear.
-func (w *World) copies(lead *node, seats []accord.Member, least int) {
-	for s := unit.Slot(1); s <= lead.core.Commit(); s++ {
-		n := 0
-		for _, m := range seats {
-			if x := w.find(m.Node); x.member.Num == m.Num && x.disk.has(s, w.chosen[s]) {
-				n++
-			}
-		}
-		if n < least {
-			w.fail("instance %d of %d is on %d disks of the membership in force, %v, wanted %d", s, lead.core.Commit(), n, seats, least)
-			return
-		}
+// diskOf gives a member's disk, while it is that member's.
+func (w *World) diskOf(m accord.Member) *disk {
+	if x := w.find(m.Node); x.member.Num == m.Num {
+		return x.disk
 	}
+	return nil
 }
 
 // checkSend checks the bounds of batches and window on what goes out.
@@ -488,15 +458,9 @@
 }
 
 func (w *World) decided(n *node, d accord.Decided) {
-	if old, ok := w.chosen[d.Slot]; ok && !bytes.Equal(old, d.Raw) {
-		w.fail("instance %d decided twice, node %s differs", d.Slot, n.member.Node)
+	if !w.agree(&w.loop, n.member.Node, d) {
 		return
 	}
-	if _, ok := w.chosen[d.Slot]; !ok {
-		w.chosen[d.Slot] = append([]byte{}, d.Raw...)
-		w.highs = append(w.highs, high{w.now, d.Slot})
-		w.Decided++
-	}
 	if d.Slot != n.state.Slot()+1 {
 		w.fail("node %s applies %d after %d", n.member.Node, d.Slot, n.state.Slot())
 	}
@@ -525,10 +489,7 @@
 		if err != nil {
 			w.fail("save: %v", err)
 		}
-		if old, ok := w.digests[d.Slot]; ok && !bytes.Equal(old, b) {
-			w.fail("state at %d differs on node %s", d.Slot, n.member.Node)
-		}
-		w.digests[d.Slot] = b
+		w.alike(&w.loop, n.member.Node, d.Slot, b)
 	}
 }
 
