Invariants: 16 promises are checked in running processes, counted, and fail tests

Cause: what the system promises was checked in simulated worlds alone; a running process that broke a promise would not have noticed. Change: package invariant; checks at acceptances (a ledger of what the disk confirmed, apart from the engine's), decisions, applies, epochs, releases, leases, acknowledged successors, deliveries, senders' numbers, RETRY, answers, sequences, attempts, grants and queues. A violation is counted in a metric, logged once in 10 s, and panics in tests.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -88,6 +88,7 @@
 // called: by a lease that is held, or through the group's order.
 func (c *Control) Read(wait ids.Millis, done func(bool)) {
 	if c.current() {
+		c.checkLease("read")
 		done(true)
 		return
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/metrics"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/transport"
@@ -130,6 +131,15 @@
 	return ok && age <= c.conf.Lease
 }
 
+// checkLease compares the age of the contact with the lease, where something is answered
+// from the state.
+func (c *Control) checkLease(answer string) {
+	age, ok := c.core.Contact(c.now)
+	if !ok || age > c.conf.Lease {
+		invariant.Violated(invariant.AnsweredWithinLease, "answer", answer, "age_ms", age, "lease_ms", c.conf.Lease)
+	}
+}
+
 // term gives the fencing token of this leader's own commands; false for whoever does
 // not lead, or leads and cannot be sure of it, or has not begun its term.
 func (c *Control) term() (ids.Ballot, bool) {
@@ -329,6 +339,7 @@
 	if !c.current() { // one that is cut off must not be trusted
 		return
 	}
+	c.checkLease("heartbeat")
 	for _, s := range c.subscribers {
 		s.conn.Send(controlapi.KindHeartbeat, controlapi.Heartbeat{Seq: s.seq})
 	}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -35,6 +35,8 @@
 	config   atomic.Pointer[controlapi.Config] // as it was read last for a status; nil: never
 	once     sync.Once
 
+	successors successors // configurations acknowledged here; the actor's
+
 	full   bool // the disk is nearly full: no new configuration is taken here
 	roomAt ids.Millis
 }
--- a/internal/control/daemon_calls.go
+++ b/internal/control/daemon_calls.go
@@ -60,7 +60,14 @@
 		Body:    controlapi.Pack(body),
 		Sum:     Digest(body),
 	}
-	return d.result(cmd, wait)
+	res, err := Result(0), errNoQuorum
+	d.ask(cmd, wait, func(r Result) {
+		res, err = r, nil
+		if r == Done {
+			d.successors.acknowledged(match, release, cmd.Sum)
+		}
+	})
+	return res, err
 }
 
 // Retire begins to empty a storage machine.
--- a/internal/control/enroll.go
+++ b/internal/control/enroll.go
@@ -45,6 +45,7 @@
 	default:
 		seq := x.Seq
 		if seq == 0 && c.state.UpdatedAt > 0 && n.Role != controlapi.Control && c.current() {
+			c.checkLease("enrollment")
 			if conn.Send(controlapi.KindUpdate, c.state.Update().Since(0)) {
 				c.conf.Metrics.UpdateSent()
 				seq = c.state.UpdatedAt // what follows over this link are changes
--- a/internal/control/worker_heartbeats.go
+++ b/internal/control/worker_heartbeats.go
@@ -126,6 +126,7 @@
 	if _, ok = c.term(); !ok {
 		return heard, false
 	}
+	c.checkLease("worker heartbeat")
 	for i, id := range batch.IDs {
 		_, w := c.state.worker(id)
 		if w == nil || w.Gone && !w.Left {
--- a/internal/dispatch/attempt_lifecycle.go
+++ b/internal/dispatch/attempt_lifecycle.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/queue"
 )
 
@@ -35,7 +36,8 @@
 	timeout      ids.Millis
 	failureLimit uint16
 	running      bool
-	over         bool // the attempt has ended, its end is not decided
+	sequence     string // that the message stands in, if any; set as the attempt starts
+	over         bool   // the attempt has ended, its end is not decided
 }
 
 // backoff keeps a message that failed back for a while.
@@ -109,6 +111,7 @@
 		s.reportEnd(now, queue.Attempt{Pos: pos, Number: number, Outcome: queue.NotRun})
 		return
 	}
+	s.checkStart(event.Row, r)
 	r.running = true
 	message := event.Row.Msg
 	attempt := &Attempt{
@@ -126,9 +129,30 @@
 	})
 }
 
+// checkStart compares an attempt that is about to be sent with what may be sent: a sequence
+// has one attempt under way, and a message as many failures as its route allows at most.
+func (s *Shard) checkStart(row *queue.Row, r *reservation) {
+	if row.Failures >= r.failureLimit {
+		invariant.Violated(invariant.AttemptsWithinBudget,
+			"group", s.group, "pos", row.Pos, "failures", row.Failures, "limit", r.failureLimit)
+	}
+	r.sequence = row.SequenceKey()
+	if r.sequence == "" {
+		return
+	}
+	other, found := s.sequences[r.sequence]
+	if earlier := s.state.Row(other); found && other != row.Pos && earlier != nil && earlier.Outcome == queue.Open {
+		invariant.Violated(invariant.OneAttemptPerSequence, "group", s.group, "pos", row.Pos, "under_way", other)
+	}
+	s.sequences[r.sequence] = row.Pos
+}
+
 // finished takes what came of an attempt.
 func (s *Shard) finished(pos ids.Position, number uint32, r *reservation, result Result) {
 	now := s.host.Now()
+	if key := r.sequence; key != "" && s.sequences[key] == pos {
+		delete(s.sequences, key)
+	}
 	r.over = true
 	r.worker.inFlight--
 	r.worker.record(now, result, s.host.Bounds.EjectFor, s.host.Rand)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -30,6 +30,7 @@
 	backoffs     map[ids.Position]*backoff
 	nextSubmit   ids.Millis
 	notices      notices
+	sequences    map[string]ids.Position // whose attempt is under way from here
 }
 
 func newShard(host *Host, group ids.Group) *Shard {
@@ -43,6 +44,7 @@
 		ends:         map[ids.Position]*pendingEnd{},
 		backoffs:     map[ids.Position]*backoff{},
 		notices:      newNotices(),
+		sequences:    map[string]ids.Position{},
 	}
 }
 
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -7,6 +7,7 @@
 
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/topic"
@@ -56,9 +57,10 @@
 		if d.neverForwarded(now, c, id) {
 			cause = causeRetry // never forwarded
 		}
-		c.reject(verbPublish, w.topic, w.seq, cause)
+		d.rejectPublish(c, w.topic, w.seq, cause)
 		return
 	}
+	d.refused.sentAgain(id)
 	keep := ids.Millis(0)
 	if sp.Retained() {
 		keep = ids.Millis(sp.KeepS * 1000)
@@ -134,6 +136,7 @@
 
 // outcome takes what the decided order says of a call.
 func (d *Daemon) outcome(o shardapi.Outcome) {
+	d.refused.check(o.ID, o.Verdict)
 	x := d.calls[o.ID]
 	if x == nil {
 		return
@@ -142,9 +145,13 @@
 	if x.conn == nil {
 		return
 	}
+	if publishID(x.conn, x.seq) != o.ID {
+		invariant.Violated(invariant.AnswerBelongs,
+			"origin", o.ID.Origin, "number", o.ID.Seq, "client", x.conn.client, "seq", x.seq)
+	}
 	x.conn.calls--
 	if o.Verdict == topic.Refused {
-		x.conn.reject(verbPublish, x.topic, x.seq, causeRetry)
+		d.rejectPublish(x.conn, x.topic, x.seq, causeRetry)
 		return
 	}
 	d.metrics.Accepted()
@@ -170,6 +177,9 @@
 		if c.conn != nil {
 			c.conn.calls--
 			d.metrics.OverQuota()
+			if cause == causeRetry {
+				d.refused.add(id)
+			}
 			c.conn.send(reject(nil, verbPublish, c.topic, c.seq, cause))
 		}
 	}
@@ -190,7 +200,7 @@
 			// the only forward was turned away: it has not run and never will
 			delete(d.calls, id)
 			c.conn.calls--
-			c.conn.reject(verbPublish, c.topic, c.seq, causeRetry)
+			d.rejectPublish(c.conn, c.topic, c.seq, causeRetry)
 			continue
 		}
 		c.sentAt = ids.MonotonicNow() - d.bounds.resend + deniedPause
--- a/internal/edge/conn.go
+++ b/internal/edge/conn.go
@@ -9,6 +9,7 @@
 
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/transport"
 )
 
@@ -73,6 +74,10 @@
 	if !full {
 		c.out = append(c.out, c.pending...)
 	}
+	if len(c.out) > c.daemon.bounds.clientOut {
+		invariant.Violated(invariant.QueuesBounded,
+			"queue", "client", "bytes", len(c.out), "bound", c.daemon.bounds.clientOut)
+	}
 	c.mu.Unlock()
 	c.pending = c.pending[:0]
 	if cap(c.pending) > 16<<10 {
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
 )
@@ -40,6 +41,7 @@
 // deliverAll hands a decided message to a topic's subscribers.
 func (d *Daemon) deliverAll(t *followedTopic, p ids.Position, client ids.Client, seq ids.Seq, body []byte) {
 	var line []byte
+	t.recent.check(t.name, p, client, seq)
 	for _, s := range t.subscribers {
 		if s.active && p > s.last {
 			if line == nil {
@@ -70,6 +72,10 @@
 	if p <= s.last {
 		return
 	}
-	s.last = p
+	if p <= s.sent {
+		invariant.Violated(invariant.DeliveredInOrder,
+			"topic", s.topic.name, "client", s.conn.client, "position", p, "sent", s.sent)
+	}
+	s.last, s.sent = p, p
 	s.conn.send(line)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,6 +31,7 @@
 	censuses  map[uint64]*census
 	calls     map[paxos.ID]*call
 	uncertain map[paxos.ID]ids.Millis // forwarded and given up, lately
+	refused   refusedCalls            // answered RETRY, lately
 	outbox    map[ids.Group][]*call
 	leaders   map[ids.Group]shardapi.Lead
 	lastOrder uint64
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -112,7 +112,7 @@
 				continue
 			}
 			x.conn.calls--
-			x.conn.reject(verbPublish, x.topic, x.seq, cause)
+			d.rejectPublish(x.conn, x.topic, x.seq, cause)
 		case x.forwards > 0 && !x.queued && now-x.sentAt >= d.bounds.resend:
 			d.queue(x)
 		}
--- a/internal/edge/requests.go
+++ b/internal/edge/requests.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/shardapi"
 )
 
@@ -95,9 +96,25 @@
 			cause = causeUnknown // an earlier try of this number may run
 		}
 	}
+	if cause == causeNoSpace || cause == causeNoAuth {
+		d.checkCurrent(now, cause)
+	}
+	if w.verb == verbPublish {
+		d.rejectPublish(c, w.topic, w.seq, cause)
+		return
+	}
 	c.reject(w.verb, w.topic, w.seq, cause)
 }
 
+// checkCurrent compares the age of the configuration with how long it counts as the newest,
+// where a request is turned down for what it says.
+func (d *Daemon) checkCurrent(now ids.Millis, cause string) {
+	if view := d.core.Updates.View(); !view.Current(now) {
+		invariant.Violated(invariant.AnsweredWithinLease,
+			"answer", cause, "release", view.Config.Release, "age_ms", view.ConfirmedAge(now))
+	}
+}
+
 // census is a question for the count of a topic's subscribers, under way.
 type census struct {
 	conn  *conn
--- a/internal/edge/subscriptions.go
+++ b/internal/edge/subscriptions.go
@@ -14,6 +14,7 @@
 	subscribers   map[*conn]*subscription
 	flowing       bool   // the replica followed flows it
 	resumeRequest uint64 // asked for when it was last taken up at another replica
+	recent        recentMessages
 }
 
 // subscription is one client's to a topic.
@@ -23,6 +24,7 @@
 	request  uint64       // under which the replica followed was asked
 	active   bool         // the replica answered
 	last     ids.Position // everything up to here was handed to the client
+	sent     ids.Position // the last message that was handed to it
 	from     ids.Position // where the client takes it up, if hasFrom
 	hasFrom  bool
 	cursor   string // the same, as the client wrote it
--- a/internal/httpedge/handle.go
+++ b/internal/httpedge/handle.go
@@ -13,6 +13,7 @@
 	"oxbowdeck/internal/compression"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/queue"
 	"oxbowdeck/internal/watch"
 )
@@ -77,9 +78,14 @@
 // writeErrorIfCurrent turns a request down for what the configuration says. Unless that
 // is known to be the newest one, the answer is 503: a newer one may allow the request.
 func writeErrorIfCurrent(w http.ResponseWriter, view *watch.View, code int, why string) {
-	if !view.Current(ids.MonotonicNow()) {
+	now := ids.MonotonicNow()
+	if !view.Current(now) {
 		code, why = http.StatusServiceUnavailable, "this node does not know the newest configuration yet"
 	}
+	if code != http.StatusServiceUnavailable && !view.Current(now) {
+		invariant.Violated(invariant.AnsweredWithinLease,
+			"answer", code, "release", view.Config.Release, "age_ms", view.ConfirmedAge(now))
+	}
 	writeError(w, code, why)
 }
 
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -10,11 +10,13 @@
 
 import (
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/settings"
 )
 
@@ -40,7 +42,28 @@
 	if !set.Metrics() {
 		return nil
 	}
-	return &Registry{collectors: prometheus.NewRegistry()}
+	r := &Registry{collectors: prometheus.NewRegistry()}
+	r.registerProcess()
+	return r
+}
+
+// registerProcess adds what every kind of process has.
+func (r *Registry) registerProcess() {
+	for _, name := range invariant.Names() {
+		r.collectors.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace:   namespace,
+			Subsystem:   "invariant",
+			Name:        "violations_total",
+			Help:        "Checks of an invariant that did not hold.",
+			ConstLabels: prometheus.Labels{"invariant": string(name)},
+		}, func() float64 { return float64(invariant.Count(name)) }))
+	}
+	r.collectors.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Subsystem: "process",
+		Name:      "goroutines",
+		Help:      "Goroutines of the process.",
+	}, func() float64 { return float64(runtime.NumGoroutine()) }))
 }
 
 // Handler answers with the metrics as text; nil where they are off.
--- a/internal/paxos/core.go
+++ b/internal/paxos/core.go
@@ -39,16 +39,17 @@
 // Core is one replica of one group: what every replica holds, and a part for each
 // thing that it does.
 type Core struct {
-	conf     Config
-	role     Role
-	promised ids.Ballot // no lower ballot is accepted any more
-	log      map[ids.Slot]*slot
-	commit   ids.Slot // decided up to here
-	base     ids.Slot // a snapshot covers the log up to here
-	clock    ids.Millis
-	born     ids.Millis // when this incarnation began, by its own steady clock
-	now      ids.Millis // as of the last tick
-	draining bool       // this replica leaves: it leads no more
+	conf           Config
+	role           Role
+	promised       ids.Ballot // no lower ballot is accepted any more
+	promisedBefore ids.Ballot // the same at the last Drain
+	log            map[ids.Slot]*slot
+	commit         ids.Slot // decided up to here
+	base           ids.Slot // a snapshot covers the log up to here
+	clock          ids.Millis
+	born           ids.Millis // when this incarnation began, by its own steady clock
+	now            ids.Millis // as of the last tick
+	draining       bool       // this replica leaves: it leads no more
 
 	memberships     []Membership // in force, and decided to be
 	membershipSince ids.Slot     // the newest membership came into force here
@@ -100,10 +101,17 @@
 	return c
 }
 
-func (c *Core) Role() Role                { return c.role }
-func (c *Core) Commit() ids.Slot          { return c.commit }
-func (c *Core) Base() ids.Slot            { return c.base }
-func (c *Core) Promised() ids.Ballot      { return c.promised }
+func (c *Core) Role() Role           { return c.role }
+func (c *Core) Commit() ids.Slot     { return c.commit }
+func (c *Core) Base() ids.Slot       { return c.base }
+func (c *Core) Promised() ids.Ballot { return c.promised }
+
+// Decided tells whether an instance is known here to be decided.
+func (c *Core) Decided(s ids.Slot) bool {
+	e := c.log[s]
+	return s <= c.commit || e != nil && e.chosen
+}
+
 func (c *Core) Memberships() []Membership { return c.memberships }
 func (c *Core) Self() Member              { return c.conf.Self }
 func (c *Core) SetLearners(l []Member)    { c.learners = l }
--- a/internal/paxos/disk.go
+++ b/internal/paxos/disk.go
@@ -1,6 +1,9 @@
 package paxos
 
-import "oxbowdeck/internal/ids"
+import (
+	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
+)
 
 // diskState is what the disk holds, and what waits for it.
 type diskState struct {
@@ -39,6 +42,11 @@
 
 // Drain hands over the effects gathered so far.
 func (c *Core) Drain() Effects {
+	if c.promised < c.promisedBefore {
+		invariant.Violated(invariant.EpochNeverFalls,
+			"group", c.conf.Group, "promised", c.promised, "before", c.promisedBefore)
+	}
+	c.promisedBefore = c.promised
 	if len(c.eff.Saves) > 0 {
 		c.disk.tokens++
 		c.eff.Token = c.disk.tokens
--- a/internal/paxos/learner.go
+++ b/internal/paxos/learner.go
@@ -1,8 +1,11 @@
 package paxos
 
 import (
+	"bytes"
+
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 )
 
 // followerState is of one that follows a leader.
@@ -85,6 +88,7 @@
 	c.follow(now, from, m.Ballot)
 	yes := c.envelope(from, Msg{Kind: Accepted, Ballot: m.Ballot, Slot: m.Slot})
 	if e := c.log[m.Slot]; m.Slot <= c.commit || e != nil && e.chosen {
+		c.checkDecidedOnce(m.Slot, m.Val)
 		c.eff.Sends = append(c.eff.Sends, yes)
 	} else if e != nil && e.bal == m.Ballot {
 		// a repeat of what is held already: the answer may still wait for the disk
@@ -186,10 +190,8 @@
 // takeFeed takes decided instances that a peer sent on request.
 func (c *Core) takeFeed(now ids.Millis, from ids.Node, m Msg) {
 	for _, e := range m.Entries {
-		if e.Slot <= c.commit {
-			continue
-		}
-		if s := c.log[e.Slot]; s != nil && s.chosen {
+		if s := c.log[e.Slot]; e.Slot <= c.commit || s != nil && s.chosen {
+			c.checkDecidedOnce(e.Slot, e.Val)
 			continue
 		}
 		// decided, so no ballot at or above the feeder's can propose otherwise
@@ -203,6 +205,14 @@
 	}
 }
 
+// checkDecidedOnce compares what a peer has of a decided instance with what is here.
+func (c *Core) checkDecidedOnce(s ids.Slot, val []byte) {
+	if e := c.log[s]; e != nil && e.chosen && !bytes.Equal(e.val, val) {
+		invariant.Violated(invariant.DecidedOnce,
+			"group", c.conf.Group, "slot", s, "epoch", e.bal, "bytes", len(e.val), "other_bytes", len(val))
+	}
+}
+
 func (c *Core) entryBal(s ids.Slot) ids.Ballot {
 	if e := c.log[s]; e != nil {
 		return e.bal
--- a/internal/paxos/quorum.go
+++ b/internal/paxos/quorum.go
@@ -1,6 +1,9 @@
 package paxos
 
-import "oxbowdeck/internal/ids"
+import (
+	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
+)
 
 // majority tells whether more than half of some members are in a set.
 func majority(members []Member, yes map[ids.ReplicaID]bool) bool {
@@ -40,6 +43,10 @@
 		c.leading.usualLatency += now - e.began - c.leading.usualLatency/8
 	}
 	if e.agreed && len(e.holders) >= c.copiesNeeded(members) {
+		if e.bal != c.leader || !majority(members, e.acks) {
+			invariant.Violated(invariant.DecidedByMajority,
+				"group", c.conf.Group, "slot", s, "epoch", e.bal, "leader", c.leader, "accepted", len(e.acks))
+		}
 		e.chosen, e.pending = true, false
 		c.advance(now)
 	}
--- a/internal/queue/apply.go
+++ b/internal/queue/apply.go
@@ -46,7 +46,7 @@
 	case End:
 		for _, attempt := range command.Attempts {
 			row := s.rows[attempt.Pos]
-			key := row.key()
+			key := row.SequenceKey()
 			ended := s.end(row, attempt)
 			emit(Event{Verb: End, ID: id, Row: row, Attempt: attempt, Key: key, OK: ended})
 		}
--- a/internal/queue/row.go
+++ b/internal/queue/row.go
@@ -53,9 +53,9 @@
 // Name is what a shard knows the message by.
 func (m *Message) Name() string { return Name(m.Tenant, m.ID) }
 
-// key is the sequence a message stands in, if any: of its tenant and its X-Sequence-Key.
+// SequenceKey is the sequence a message stands in, if any: of its tenant and its X-Sequence-Key.
 // The key alone stands for the messages of nobody, as for all in versions without tenants.
-func (r *Row) key() string {
+func (r *Row) SequenceKey() string {
 	if r == nil || !r.Msg.Ordered || r.Msg.Key == "" {
 		return ""
 	}
--- a/internal/queue/state.go
+++ b/internal/queue/state.go
@@ -76,7 +76,7 @@
 
 // First tells whether no earlier message of its key stands before one.
 func (s *State) First(row *Row) bool {
-	key := row.key()
+	key := row.SequenceKey()
 	return key == "" || s.sequences[key][0] == row.Pos
 }
 
@@ -97,14 +97,14 @@
 		return
 	}
 	s.open++
-	if key := row.key(); key != "" {
+	if key := row.SequenceKey(); key != "" {
 		s.sequences[key] = append(s.sequences[key], row.Pos)
 	}
 }
 
 // leaveSequence takes a message that ended out of its sequence.
 func (s *State) leaveSequence(row *Row) {
-	key := row.key()
+	key := row.SequenceKey()
 	if key == "" {
 		return
 	}
--- a/internal/queue/sweep.go
+++ b/internal/queue/sweep.go
@@ -24,7 +24,7 @@
 	slices.Sort(expired)
 	for _, pos := range expired {
 		row := s.rows[pos]
-		key := row.key()
+		key := row.SequenceKey()
 		s.finish(row, Expired)
 		attempt := Attempt{Pos: pos, Number: row.Attempts, Outcome: Expired}
 		emit(Event{Verb: End, Row: row, Key: key, Attempt: attempt, OK: true})
--- a/internal/quota/counter_tenant.go
+++ b/internal/quota/counter_tenant.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 )
 
 // tenantCount is a counter's entry of one tenant.
@@ -83,6 +84,9 @@
 		}
 		left := len(t.waiting) - i
 		n := min(w.ask.Want, (held+left-1)/left)
+		if n > held || n > w.ask.Want {
+			invariant.Violated(invariant.GrantsWithinBudget, "granted", n, "held", held, "wanted", w.ask.Want)
+		}
 		t.portions.use(n)
 		t.reply(c, w, Granted{Tenant: t.tenant, Number: w.ask.Number, N: n})
 		served++
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 )
 
 // Reserve is the decided command that takes tokens out of a tenant's account. Rate and
@@ -86,6 +87,10 @@
 	granted = min(r.Want, int(math.Min(a.Level, maxWant)))
 	a.Level -= float64(granted)
 	a.Outstanding += granted
+	if a.Level < 0 || a.Level > r.Capacity {
+		invariant.Violated(invariant.GrantsWithinBudget,
+			"level", a.Level, "capacity", r.Capacity, "granted", granted, "epoch", r.Ballot)
+	}
 	return granted
 }
 
--- a/internal/replication/manager.go
+++ b/internal/replication/manager.go
@@ -62,6 +62,8 @@
 		group:     conf.Group,
 		transfers: map[ids.Node]*transfer{},
 		pending:   map[ids.Node]*pendingLog{},
+		applied:   state.Base,
+		synced:    newSyncedEntries(state.Base, state.Entries),
 	}
 	m.Replicas[conf.Group] = r
 	m.flush(r)
@@ -135,12 +137,16 @@
 // completions come back here.
 func (m *Manager) save(r *Replica, records []paxos.Record, token uint64) {
 	m.Disk.Save(r.group, records, func() {
-		m.Actor.Do(func() { r.Core.Synced(ids.MonotonicNow(), token) })
+		m.Actor.Do(func() {
+			r.synced.confirm(records)
+			r.Core.Synced(ids.MonotonicNow(), token)
+		})
 	})
 }
 
 // send sends a message of the engine on the link that it is for.
 func (m *Manager) send(r *Replica, s paxos.Envelope) {
+	r.checkAccepted(s.Msg)
 	if s.Msg.Kind == paxos.Fetch && m.overloaded() {
 		return // what it asks for could not be kept
 	}
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/storage"
 )
@@ -22,6 +23,8 @@
 
 	group     ids.Group
 	leader    ids.Ballot               // of the leader that was last told of
+	applied   ids.Slot                 // the newest instance applied, or the snapshot's
+	synced    *syncedEntries           // what of the log is surely on the disk
 	logged    int                      // bytes applied since the last snapshot
 	saving    bool                     // a snapshot is on its way to the disk
 	tail      []appliedEntry           // what the engine holds of the decided log
@@ -43,6 +46,10 @@
 
 // apply runs a decided instance, and lets go of the oldest ones past a bound.
 func (r *Replica) apply(d paxos.Decided, maxTail int) {
+	if d.Slot != r.applied+1 {
+		invariant.Violated(invariant.AppliedInOrder, "group", r.group, "slot", d.Slot, "applied", r.applied)
+	}
+	r.applied = d.Slot
 	size := len(d.Raw) + entryOverhead
 	r.Machine.Apply(d)
 	r.logged += size
@@ -62,6 +69,7 @@
 	}
 	if dropped > 0 {
 		r.Core.Trim(r.tail[dropped-1].slot)
+		r.synced.trim(r.tail[dropped-1].slot)
 		r.tail = append([]appliedEntry(nil), r.tail[dropped:]...)
 	}
 }
--- a/internal/replication/snapshot_receive.go
+++ b/internal/replication/snapshot_receive.go
@@ -123,6 +123,8 @@
 		return
 	}
 	r.Core.Install(now, s.slot, s.memberships, r.Machine.Clock())
+	r.applied = s.slot
+	r.synced.trim(s.slot)
 	slog.Info("snapshot-taken", "group", r.group, "peer", s.from, "slot", s.slot)
 	r.saving = true
 	r.logged = 0
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -10,6 +10,7 @@
 
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/paxos"
 )
 
@@ -125,10 +126,17 @@
 	d.mu.Lock()
 	d.jobs = append(d.jobs, j)
 	d.behind += j.size()
+	behind := d.behind
 	d.mu.Unlock()
+	if behind > mostBehind {
+		invariant.Violated(invariant.QueuesBounded, "queue", "disk", "bytes", behind, "bound", mostBehind)
+	}
 	d.wakeWriter()
 }
 
+// mostBehind is far more than waits for a disk where whoever saves looks at Behind in time.
+const mostBehind = 64 << 20
+
 // Behind is how many bytes of records wait for the disk. Who saves what others
 // send stops taking it in time: a disk may refuse for long.
 func (d *DB) Behind() int {
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 )
 
 // Link is an ordered stream of frames to and from one peer.
@@ -68,13 +69,17 @@
 		l.mu.Unlock()
 		return false
 	}
-	if queued := len(l.queue); queued > 0 && queued+len(b) > l.hub.bounds.Queue {
+	queued := len(l.queue)
+	if queued > 0 && queued+len(b) > l.hub.bounds.Queue {
 		l.mu.Unlock()
 		slog.Warn("link-full", "peer", l.Peer().Node, "bytes", queued)
 		l.Drop()
 		return false
 	}
 	l.queue = appendFrame(l.queue, k, b)
+	if bound := l.hub.bounds.Queue + headBytes + 1; len(l.queue) > bound && queued > 0 {
+		invariant.Violated(invariant.QueuesBounded, "queue", "link", "peer", l.to, "bytes", len(l.queue), "bound", bound)
+	}
 	l.lastQueued.Store(int64(ids.MonotonicNow()))
 	l.mu.Unlock()
 	l.wakeWriter()
--- a/internal/watch/view.go
+++ b/internal/watch/view.go
@@ -5,6 +5,7 @@
 
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
 )
@@ -63,6 +64,9 @@
 	if n.Release == before.Config.Release {
 		return false
 	}
+	if n.Release < before.Config.Release {
+		invariant.Violated(invariant.ReleaseNeverFalls, "release", n.Release, "before", before.Config.Release, "seq", n.Seq)
+	}
 	config, err := controlapi.ReadConfig(n.Config)
 	if err != nil {
 		slog.Warn("config-unreadable", "release", n.Release, "err", err)
