Soak: whole deployments of real processes under troubles that overlap, drawn from a seed

Cause: what simulated worlds leave out (the transport's goroutines, goleveldb's background work, real timers, the HTTP server, signals, start and stop) was seen under one trouble at a time at the most, and without a seed. Processes are killed, frozen, told to end, wiped, replaced, retired; a relay of the project's own between them cuts, delays, stalls, truncates, resets and mutes; disks refuse, stall and are slow at the storage seam (settings test_only.*, which check refuses in a deployment and which only loopback takes). Clients, operators and workers that behave and that misbehave; judged from outside.

--- a/cmd/oxbowctl/main.go
+++ b/cmd/oxbowctl/main.go
@@ -27,6 +27,7 @@
 		modelCommand(),
 		initCommand(),
 		localCommand(),
+		soakCommand(),
 	)
 	return root
 }
--- a/internal/localcluster/line_writer.go
+++ b/internal/childprocess/output.go
@@ -1,4 +1,4 @@
-package localcluster
+package childprocess
 
 import (
 	"bytes"
@@ -10,14 +10,17 @@
 // maxLogLine bounds what is kept of a line that does not end.
 const maxLogLine = 64 << 10
 
-// sharedOutput is one output that several processes write whole lines to.
-type sharedOutput struct {
+// Output is one output that several processes write whole lines to.
+type Output struct {
 	mu  sync.Mutex
 	out io.Writer
 }
 
-// writeLine writes one line under a process's name.
-func (o *sharedOutput) writeLine(name string, line []byte) {
+// NewOutput makes an output that passes lines on.
+func NewOutput(out io.Writer) *Output { return &Output{out: out} }
+
+// WriteLine writes one line under a process's name.
+func (o *Output) WriteLine(name string, line []byte) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	fmt.Fprintf(o.out, "%-14s | %s\n", name, line)
@@ -26,7 +29,7 @@
 // lineWriter passes what a process writes on, line by line. One goroutine uses it.
 type lineWriter struct {
 	name    string
-	output  *sharedOutput
+	output  *Output
 	pending []byte // the beginning of a line
 }
 
@@ -38,7 +41,7 @@
 		if end < 0 {
 			break
 		}
-		w.output.writeLine(w.name, w.pending[:end])
+		w.output.WriteLine(w.name, w.pending[:end])
 		w.pending = w.pending[end+1:]
 	}
 	if len(w.pending) > maxLogLine {
@@ -50,7 +53,7 @@
 // flush writes an unfinished line as it is.
 func (w *lineWriter) flush() {
 	if len(w.pending) > 0 {
-		w.output.writeLine(w.name, w.pending)
+		w.output.WriteLine(w.name, w.pending)
 		w.pending = nil
 	}
 }
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -13,6 +13,7 @@
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/transport"
 )
 
 // Count of watchers a node has, and of heartbeats missed before they report.
@@ -66,9 +67,10 @@
 	Incarnation ids.Incarnation
 	Heartbeat   ids.Millis
 	Report      func(n ids.Node, incarnation ids.Incarnation)
+	Relay       string // of tests: heartbeats go through this address; see transport.RelayHeader
 
 	conn        *net.UDPConn
-	sendTo      []*net.UDPAddr
+	sendTo      []destination
 	watched     map[ids.Node]*watched
 	heartbeatAt ids.Millis
 }
@@ -124,8 +126,8 @@
 	w.watched = map[ids.Node]*watched{}
 	next, prev := around(nodes, w.Self, WatchersPerNode)
 	for _, n := range next {
-		if u, err := net.ResolveUDPAddr("udp4", string(n.Addr)); err == nil {
-			w.sendTo = append(w.sendTo, u)
+		if d, err := w.destinationOf(n.Addr); err == nil {
+			w.sendTo = append(w.sendTo, d)
 		}
 	}
 	for _, n := range prev {
@@ -137,6 +139,23 @@
 	}
 }
 
+// destination is where heartbeats to a node are sent.
+type destination struct {
+	addr   *net.UDPAddr
+	header []byte // for a relay; its capacity is its length
+}
+
+// destinationOf gives where heartbeats to a node are sent: to itself, or to a relay.
+func (w *Detector) destinationOf(n ids.Node) (d destination, err error) {
+	to := string(n)
+	if w.Relay != "" {
+		to = w.Relay
+		d.header = slices.Clip(transport.RelayHeader(w.Self, n))
+	}
+	d.addr, err = net.ResolveUDPAddr("udp4", to)
+	return d, err
+}
+
 // around gives the k nodes after n on the ring and the k before it, nearest
 // first; none when n has no place on it. Each change of the update asks for them at
 // every node, so the ring is not sorted for it: one look at each node does.
@@ -199,8 +218,8 @@
 	late := now - w.heartbeatAt // a process that was itself held up judges nobody
 	w.heartbeatAt = now + w.Heartbeat
 	if b, err := cbor.Marshal(heartbeat{Node: w.Self, Incarnation: w.Incarnation}); err == nil {
-		for _, a := range w.sendTo {
-			w.conn.WriteToUDP(b, a)
+		for _, d := range w.sendTo {
+			w.conn.WriteToUDP(append(d.header, b...), d.addr)
 		}
 	}
 	electionTimeout := w.Heartbeat * MissesToSuspect
--- a/internal/localcluster/layout.go
+++ b/internal/localcluster/layout.go
@@ -80,9 +80,11 @@
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone+1) }
 
-func (p Plan) control(zone int) Process {
+func (p Plan) control(zone int) Process { return p.controlAt(zone, firstControlHost+zone) }
+
+func (p Plan) controlAt(zone, host int) Process {
 	x := Process{Name: "core-" + zoneName(zone), Program: "oxbowctl", Role: "serve"}
-	ip := p.address(firstControlHost + zone)
+	ip := p.address(host)
 	x.Control = fmt.Sprintf("%s:%d", ip, p.Base)
 	return p.withSettings(x, ip, zone, []string{
 		"machine_class=core",
@@ -92,9 +94,11 @@
 	})
 }
 
-func (p Plan) store(zone int) Process {
+func (p Plan) store(zone int) Process { return p.storeAt(zone, firstStoreHost+zone) }
+
+func (p Plan) storeAt(zone, host int) Process {
 	x := Process{Name: "store-" + zoneName(zone), Program: "oxbowdeck", Role: "store"}
-	return p.withSettings(x, p.address(firstStoreHost+zone), zone, []string{
+	return p.withSettings(x, p.address(host), zone, []string{
 		"machine_class=storage",
 		"served_roles=storage",
 		"data_dir=" + p.dataDir(x.Name),
--- a/internal/localcluster/run.go
+++ b/internal/localcluster/run.go
@@ -10,9 +10,14 @@
 	"sync"
 	"time"
 
+	"oxbowdeck/internal/childprocess"
 	"oxbowdeck/internal/errs"
 )
 
+// stopTimeout is how long processes have from SIGTERM to SIGKILL: above the grace of the
+// settings.
+const stopTimeout = 10 * time.Second
+
 // ownName stands before the lines of the runner itself.
 const ownName = "local"
 
@@ -31,9 +36,9 @@
 // cluster is a deployment under way.
 type cluster struct {
 	options   Options
-	output    *sharedOutput
+	output    *childprocess.Output
 	processes []Process
-	children  []*child
+	children  []*childprocess.Child
 	watchers  sync.WaitGroup // of children that end by themselves
 }
 
@@ -41,7 +46,7 @@
 // the context to end. When it returns, none of the processes is left. A process that
 // ends before the deployment is ready ends all of it; later, the others go on.
 func Run(ctx context.Context, options Options) error {
-	c := &cluster{options: options, output: &sharedOutput{out: options.Output}}
+	c := &cluster{options: options, output: childprocess.NewOutput(options.Output)}
 	var err error
 	if c.processes, err = Write(options.Plan); err != nil {
 		return err
@@ -65,7 +70,7 @@
 }
 
 func (c *cluster) say(format string, args ...any) {
-	c.output.writeLine(ownName, fmt.Appendf(nil, format, args...))
+	c.output.WriteLine(ownName, fmt.Appendf(nil, format, args...))
 }
 
 // checkAddressesFree finds a deployment that runs at the same addresses already.
@@ -99,12 +104,12 @@
 }
 
 func (c *cluster) startChild(program, name string, arguments ...string) error {
-	started, err := startChild(c.options.Programs, program, name, c.output, arguments...)
+	started, err := childprocess.Start(c.options.Programs, program, name, c.output, arguments...)
 	if err != nil {
 		return err
 	}
 	c.children = append(c.children, started)
-	c.say("started %s pid=%d", name, started.command.Process.Pid)
+	c.say("started %s pid=%d", name, started.PID())
 	return nil
 }
 
@@ -137,10 +142,10 @@
 		case <-look.C:
 		}
 		for _, x := range c.children {
-			if x.hasEnded() {
+			if x.HasEnded() {
 				cancel()
 				<-ready
-				return errs.Errorf("start", x.name, "%w: %v", ErrProcessEnded, x.err)
+				return errs.Errorf("start", x.Name, "%w: %v", ErrProcessEnded, x.Err())
 			}
 		}
 	}
@@ -169,9 +174,9 @@
 func (c *cluster) awaitEnd(ctx context.Context) {
 	for _, x := range c.children {
 		c.watchers.Go(func() {
-			<-x.ended
+			<-x.Ended()
 			if ctx.Err() == nil {
-				c.say("%s has ended (%v); the others go on", x.name, x.err)
+				c.say("%s has ended (%v); the others go on", x.Name, x.Err())
 			}
 		})
 	}
@@ -190,13 +195,13 @@
 func (c *cluster) stop() {
 	c.say("stopping %d processes", len(c.children))
 	for _, x := range c.children {
-		x.terminate()
+		x.Terminate()
 	}
 	deadline := make(chan time.Time)
 	timer := time.AfterFunc(stopTimeout, func() { close(deadline) })
 	defer timer.Stop()
 	for _, x := range c.children {
-		x.awaitEnd(deadline)
+		x.AwaitEnd(deadline)
 	}
 	c.watchers.Wait()
 	c.say("all processes have ended")
--- a/internal/process/check_command.go
+++ b/internal/process/check_command.go
@@ -31,6 +31,9 @@
 				return checkFolder(cmd, args[0], asJSON)
 			}
 			s, err := settings.Read(args[0])
+			if err == nil {
+				err = errs.Wrap("check", args[0], s.CheckDeployable())
+			}
 			if err != nil {
 				return err
 			}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -13,6 +13,7 @@
 
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/settings"
+	"oxbowdeck/internal/storage"
 )
 
 // Daemon is a running process.
@@ -67,6 +68,10 @@
 	}
 	slog.SetDefault(NewLogger(os.Stderr, set.LogLevel))
 	set.ApplyMemoryLimit()
+	if set.CheckDeployable() != nil {
+		slog.Warn("test-only-settings", "relay", set.Relay, "disk_fault", set.FaultFile)
+		storage.WatchFaults(set.FaultFile)
+	}
 	ctx, stop := TerminationContext(context.Background())
 	defer stop()
 	if opts.stopWithStdin {
--- a/internal/settings/peers.go
+++ b/internal/settings/peers.go
@@ -20,6 +20,7 @@
 		Silence:  time.Duration(s.Int("lane_silence_ms", 1500)) * time.Millisecond,
 		RetryMin: time.Duration(s.Int("lane_retry_ms", 20)) * time.Millisecond,
 		RetryMax: time.Duration(s.Int("lane_retry_max_ms", 250)) * time.Millisecond,
+		Relay:    s.Relay,
 		Idle:     time.Duration(s.Int("lane_idle_ms", 10_000)) * time.Millisecond,
 	}
 }
@@ -52,6 +53,7 @@
 		Incarnation: self.Incarnation,
 		Heartbeat:   ids.Millis(s.HeartbeatMs),
 		Report:      report,
+		Relay:       s.Relay,
 	}
 	return detector, detector.Listen(func(n ids.Node, incarnation ids.Incarnation) {
 		do(func() { detector.Heard(n, incarnation, ids.MonotonicNow()) })
--- a/internal/settings/settings.cue
+++ b/internal/settings/settings.cue
@@ -39,6 +39,10 @@
 	timing_bounds_quota_slack:       >=0
 	deployment:                     "realtime" | "queue"
 	log_level:                      "" | "debug" | "info" | "warn" | "error"
+
+	// of tests on one machine; check refuses them in a deployment
+	test_only_relay:      "" | #Loopback
+	test_only_disk_fault: string
 }
 
 // What the kinds of deployment ask for beyond that.
@@ -56,6 +60,7 @@
 	quota: timing_bounds_quota_window_s: >0
 }
 #Addr: =~"^[0-9.]+:[0-9]+$"
+#Loopback: =~"^127\\.[0-9.]+:[0-9]+$"
 #Port: int & >0 & <65536
 
 // What may be tuned (tuning.NAME), and within which bounds. A name that is not
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	_ "embed"
+	"errors"
 	"fmt"
 	"os"
 	"reflect"
@@ -17,7 +18,7 @@
 
 	"cuelang.org/go/cue"
 	"cuelang.org/go/cue/cuecontext"
-	"cuelang.org/go/cue/errors"
+	cueerrors "cuelang.org/go/cue/errors"
 
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
@@ -75,6 +76,8 @@
 	QuotaSlack  float64        `set:"timing_bounds.quota_slack" json:"timing_bounds_quota_slack"`
 	Kind        string         `set:"deployment" json:"deployment"`
 	LogLevel    string         `set:"log.level" json:"log_level"`
+	Relay       string         `set:"test_only.relay" json:"test_only_relay"`
+	FaultFile   string         `set:"test_only.disk_fault" json:"test_only_disk_fault"`
 	Extra       map[string]int `json:"-"` // tuning.* of this project
 }
 
@@ -87,6 +90,17 @@
 // InForce tells whether a part of the rules is in force.
 func (s *Settings) InForce(contract string) bool { return slices.Contains(s.Contracts, contract) }
 
+// ErrTestOnly tells that settings hold what is for tests on one machine alone.
+var ErrTestOnly = errors.New("fields test_only.* are for tests on one machine: no deployment may have them")
+
+// CheckDeployable refuses settings that are for tests alone.
+func (s *Settings) CheckDeployable() error {
+	if s.Relay != "" || s.FaultFile != "" {
+		return ErrTestOnly
+	}
+	return nil
+}
+
 // Read reads and checks a settings file. Unknown fields are ignored.
 func Read(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
@@ -149,6 +163,9 @@
 			return nil, firstError(err, nameInFile)
 		}
 	}
+	if s.CheckDeployable() != nil && !strings.HasPrefix(s.IP, "127.") {
+		return nil, ErrTestOnly
+	}
 	if len(s.Extra) > 0 {
 		want := ctx.CompileString(schema).LookupPath(cue.ParsePath("#Tuning"))
 		if err := want.Unify(ctx.Encode(s.Extra)).Validate(cue.Concrete(true)); err != nil {
@@ -165,7 +182,7 @@
 
 // firstError gives the first refusal under the name that a field has where it was read.
 func firstError(err error, nameOf func(string) string) error {
-	first := errors.Errors(err)[0]
+	first := cueerrors.Errors(err)[0]
 	format, args := first.Msg()
 	var path []string
 	for _, part := range first.Path() {
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,268 @@
+// Package soak runs a whole deployment of real processes on one machine under troubles that
+// overlap, with clients, operators and workers that misbehave, and judges from outside what
+// they saw. Everything is drawn from one seed: a run's plan, settings, logs and findings stay
+// in its folder, and the plan can be played again.
+//
+// plan.go draws the troubles, relay.go is the network between the processes, deployment.go
+// the processes, troubles.go brings the troubles about. topics.go, queue.go and operators.go
+// are who uses the deployment; history*.go judge what they saw. It is a tool for tests: no
+// deployed process uses it.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"oxbowdeck/internal/errs"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds of trouble.
+const (
+	Kill          Kind = "kill"            // SIGKILL, started again afterwards
+	KillStarting  Kind = "kill-starting"   // killed again while it starts
+	KillStopping  Kind = "kill-stopping"   // SIGTERM, and SIGKILL soon after
+	Freeze        Kind = "freeze"          // SIGSTOP, SIGCONT
+	Terminate     Kind = "terminate"       // SIGTERM, started again afterwards
+	Hangup        Kind = "hangup"          // the settings name other seeds, SIGHUP
+	Wipe          Kind = "wipe"            // SIGKILL, comes back with an empty disk
+	Replace       Kind = "replace"         // gone for good; an empty one comes at another address
+	Retire        Kind = "retire"          // a store is emptied in order, and taken away once that is done
+	Add           Kind = "add"             // one more store or edge
+	KillHalf      Kind = "kill-half"       // half of a class of processes at once
+	KillAll       Kind = "kill-all"        // everything at once
+	DiskFull      Kind = "disk-full"       // every write is refused
+	DiskStall     Kind = "disk-stall"      // no write ends
+	DiskSlow      Kind = "disk-slow"       // each sync takes long
+	Cut           Kind = "cut"             // one process from all others
+	CutOneWay     Kind = "cut-one-way"     // what one process sends is lost
+	Split         Kind = "split"           // halves of a class from each other
+	Delay         Kind = "delay"           // what one process sends takes longer
+	Stall         Kind = "stall"           // bytes stand still, then go on
+	Truncate      Kind = "truncate"        // connections end in the middle of a frame
+	Reset         Kind = "reset"           // connections are reset
+	LoseAnswers   Kind = "lose-answers"    // requests go through, what comes back does not
+	Mute          Kind = "mute"            // connections are taken, and nothing is said
+	WorkerHang    Kind = "worker-hang"     // of a queue: workers answer nothing
+	WorkerTwice   Kind = "worker-twice"    // they answer twice
+	WorkerLate    Kind = "worker-late"     // they answer after their time
+	WorkerCut     Kind = "worker-cut"      // they end an answer in the middle
+	WorkerFail    Kind = "worker-fail"     // they answer 500
+	WorkerReplace Kind = "worker-replaced" // one vanishes, another registers
+)
+
+// Class is a class of processes.
+type Class string
+
+// The classes.
+const (
+	Core  Class = "core"
+	Store Class = "store"
+	Edge  Class = "edge"
+)
+
+var classes = [...]Class{Core, Store, Edge}
+
+// Trouble is one trouble of a plan. Places are numbers: the process that stands there when
+// the trouble begins is struck.
+type Trouble struct {
+	At    time.Duration `json:"at"` // from the start of traffic
+	For   time.Duration `json:"for"`
+	Kind  Kind          `json:"kind"`
+	Class Class         `json:"class,omitempty"`
+	Place int           `json:"place"` // of the process in its class
+}
+
+func (t Trouble) String() string {
+	return fmt.Sprintf("%s %s-%d at %v for %v", t.Kind, t.Class, t.Place, t.At, t.For)
+}
+
+// Shape is what a run consists of.
+type Shape struct {
+	Seed    uint64        `json:"seed"`
+	For     time.Duration `json:"for"`     // how long troubles go on
+	Zones   int           `json:"zones"`   // a control process and a store in each
+	Edges   int           `json:"edges"`   // in each zone
+	Queue   bool          `json:"queue"`   // messages over HTTP instead of topics
+	Tenants bool          `json:"tenants"` // clients bear keys, and are limited
+}
+
+// Losses is how many disks may be lost at once.
+func (s Shape) Losses() int { return (s.Zones - 1) / 2 }
+
+// count is how many processes of a class there are at first.
+func (s Shape) count(class Class) int {
+	if class == Edge {
+		return s.Zones * s.Edges
+	}
+	return s.Zones
+}
+
+// Plan is a run: its shape and its troubles, in order.
+type Plan struct {
+	Shape    Shape     `json:"shape"`
+	Troubles []Trouble `json:"troubles"`
+}
+
+// weighted is a kind of trouble with how often it is drawn.
+type weighted struct {
+	kind    Kind
+	weight  int
+	classes []Class // that it strikes; none: no process
+	shorter time.Duration
+	longer  time.Duration
+}
+
+const (
+	second = time.Second
+	tenth  = 100 * time.Millisecond
+)
+
+var counted = []Class{Core, Store}
+
+var processTroubles = []weighted{
+	{Kill, 10, classes[:], 2 * tenth, 4 * second},
+	{KillStarting, 4, classes[:], 2 * tenth, second},
+	{KillStopping, 4, classes[:], 2 * tenth, 2 * second},
+	{Freeze, 9, classes[:], 3 * tenth, 6 * second},
+	{Terminate, 8, classes[:], 2 * tenth, 3 * second},
+	{Hangup, 4, classes[:], tenth, second},
+	{Wipe, 5, counted, 2 * tenth, 2 * second},
+	{Replace, 3, counted, 2 * tenth, 2 * second},
+	{Retire, 1, []Class{Store}, 4 * second, 8 * second},
+	{Add, 2, []Class{Store, Edge}, second, second},
+	{KillHalf, 3, classes[:], 2 * tenth, 3 * second},
+	{KillAll, 1, nil, 2 * tenth, 2 * second},
+	{DiskFull, 3, counted, second, 5 * second},
+	{DiskStall, 3, counted, 3 * tenth, 4 * second},
+	{DiskSlow, 3, counted, second, 5 * second},
+	{Cut, 6, classes[:], 3 * tenth, 6 * second},
+	{CutOneWay, 5, classes[:], 3 * tenth, 6 * second},
+	{Split, 4, counted, second, 6 * second},
+	{Delay, 4, classes[:], second, 6 * second},
+	{Stall, 4, classes[:], 2 * tenth, 3 * second},
+	{Truncate, 5, classes[:], 2 * tenth, 2 * second},
+	{Reset, 5, classes[:], 2 * tenth, 2 * second},
+	{LoseAnswers, 5, classes[:], 3 * tenth, 3 * second},
+	{Mute, 4, classes[:], 3 * tenth, 3 * second},
+}
+
+var workerTroubles = []weighted{
+	{WorkerHang, 4, nil, second, 4 * second},
+	{WorkerTwice, 4, nil, second, 4 * second},
+	{WorkerLate, 4, nil, second, 4 * second},
+	{WorkerCut, 4, nil, second, 4 * second},
+	{WorkerFail, 3, nil, second, 3 * second},
+	{WorkerReplace, 6, nil, second, second},
+}
+
+// catchUp is how long after its return a process still counts as lost.
+const catchUp = 10 * time.Second
+
+// Draw makes the plan of a shape. Two troubles overlap nearly always, and often three. Disks
+// are lost only as far as the deployment bears it: with every trouble of a disk's class, and
+// for catchUp after it, counted as a loss.
+func Draw(shape Shape) Plan {
+	random := rand.New(rand.NewPCG(shape.Seed, 0x50a4))
+	kinds := slices.Clone(processTroubles)
+	if shape.Queue {
+		kinds = append(kinds, workerTroubles...)
+	}
+	plan := Plan{Shape: shape}
+	for at := second; at < shape.For; at += 3*tenth + time.Duration(random.Int64N(int64(17*tenth))) {
+		t := drawOne(random, shape, kinds)
+		t.At = at
+		if plan.bears(t) {
+			plan.Troubles = append(plan.Troubles, t)
+		}
+	}
+	return plan
+}
+
+func drawOne(random *rand.Rand, shape Shape, kinds []weighted) Trouble {
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	n := random.IntN(total)
+	k := kinds[0]
+	for _, k = range kinds {
+		if n -= k.weight; n < 0 {
+			break
+		}
+	}
+	t := Trouble{Kind: k.kind, For: k.shorter + time.Duration(random.Int64N(int64(k.longer-k.shorter)+1))}
+	if len(k.classes) > 0 {
+		t.Class = k.classes[random.IntN(len(k.classes))]
+		t.Place = random.IntN(shape.count(t.Class))
+	}
+	return t
+}
+
+// losesDisk tells whether a trouble takes a disk away for good.
+func (t Trouble) losesDisk() bool { return t.Kind == Wipe || t.Kind == Replace || t.Kind == Retire }
+
+// strikes tells how many processes of a class a trouble takes out of service.
+func (t Trouble) strikes(shape Shape, class Class) int {
+	switch t.Kind {
+	case KillAll:
+		return shape.count(class)
+	case Add, Hangup, WorkerHang, WorkerTwice, WorkerLate, WorkerCut, WorkerFail, WorkerReplace:
+		return 0
+	case KillHalf, Split:
+		if t.Class == class {
+			return shape.count(class) / 2
+		}
+		return 0
+	}
+	if t.Class == class {
+		return 1
+	}
+	return 0
+}
+
+// end is when a trouble's processes count as back.
+func (t Trouble) end() time.Duration { return t.At + t.For + catchUp }
+
+// bears tells whether a further trouble leaves every disk that is lost within what is borne.
+// It begins later than all others of the plan.
+func (p *Plan) bears(t Trouble) bool {
+	for _, class := range counted {
+		lost, diskLost := t.strikes(p.Shape, class), t.losesDisk() && t.Class == class
+		for _, o := range p.Troubles {
+			if o.end() <= t.At {
+				continue
+			}
+			lost += o.strikes(p.Shape, class)
+			diskLost = diskLost || o.losesDisk() && o.Class == class
+		}
+		if diskLost && lost > p.Shape.Losses() {
+			return false
+		}
+	}
+	return true
+}
+
+// Load reads a plan that was written by Save.
+func Load(path string) (plan Plan, err error) {
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(text, &plan)
+	}
+	return plan, errs.Wrap("read plan", path, err)
+}
+
+// Save writes a plan.
+func (p Plan) Save(path string) error {
+	text, err := json.MarshalIndent(p, "", " ")
+	if err == nil {
+		err = os.WriteFile(path, text, 0o644)
+	}
+	return errs.Wrap("write plan", path, err)
+}
--- /dev/null
+++ b/internal/soak/queue.go
@@ -0,0 +1,345 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// What senders of messages do.
+const (
+	queueHost     = "in.example"
+	queueGuard    = 800 * time.Millisecond
+	queueAttempts = 200 // attempts that may fail: none is to be spent
+	queueHold     = 600 // seconds
+	queueSenders  = 10
+	queuePause    = 100 * time.Millisecond // mean
+	queueTries    = 4
+	queueTimeout  = 3 * time.Second
+	queueKeys     = 5 // sequences
+	queueDelay    = 1500 * time.Millisecond
+	queueLargest  = 12 << 10
+)
+
+// queueConfiguration is a valid configuration of a queue.
+func queueConfiguration(release, guard int64, mark string, tenanted bool) string {
+	accounts := ""
+	if tenanted {
+		accounts = tenantAccounts()
+	}
+	route := func(label, path, service string, level int, sequence bool) string {
+		return fmt.Sprintf(`{"label":"%s","host_id":%q,"path_prefix":%q,"route_class":"deferred","guard_timer_ms":%d,`+
+			`"target_ms":150,"prio_level":%d,"service_ref":%q,"max_attempts":%d,"in_sequence":%v,"hold_s":%d}`,
+			label, queueHost, path, queueGuard.Milliseconds(), level, service, queueAttempts, sequence, queueHold)
+	}
+	return fmt.Sprintf(`{"config_release":%d,"routing_entries":[%s,%s,%s,%s],
+"service_set":[{"label":"stock","conn_limit":40,"rate_per_s":0,"fixed_endpoint":null},
+{"label":"lock","conn_limit":40,"dedup_capable":true,"fixed_endpoint":null}],
+"limits":{"header_max_bytes":16384,"body_max_bytes":65536,"header_timer_ms":3000,"idle_timer_ms":%d}%s}`,
+		release,
+		route("stock", "/stock/", stockService, 2, false),
+		route("lock", "/lock/", lockService, 1, true),
+		route("abuse", "/abuse/", stockService, 2, false),
+		route(mark, fmt.Sprintf("/extra%d/", release), stockService, 2, false),
+		15000+guard, accounts)
+}
+
+// queueMessage is one try of a sender: each has an id of its own.
+type queueMessage struct {
+	id, path, key, body string
+	tenant              string
+	sent                time.Time
+	delay               time.Duration
+	acceptedAt          time.Time // zero: not, as far as is known
+	name                string    // that it is asked for by
+	promised            bool      // it was told that it never runs
+	runs                []*queueRun
+	doneAt              time.Time // a worker answered with success
+	seals               []string
+}
+
+// queueRun is one run at a worker.
+type queueRun struct {
+	message *queueMessage
+	began   time.Time
+}
+
+// QueueHistory is what senders and workers of a queue saw.
+type QueueHistory struct {
+	*History
+
+	mu       sync.Mutex
+	messages map[string]*queueMessage   // by id
+	keys     map[string][]*queueMessage // accepted, by sequence
+}
+
+func newQueueHistory(h *History) *QueueHistory {
+	return &QueueHistory{History: h, messages: map[string]*queueMessage{}, keys: map[string][]*queueMessage{}}
+}
+
+func (h *QueueHistory) sending(m *queueMessage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.messages[m.id] = m
+	h.count("messages sent")
+}
+
+func (h *QueueHistory) accepted(m *queueMessage, name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.acceptedAt, m.name = time.Now(), name
+	if m.name == "" {
+		m.name = m.id
+	}
+	if m.key != "" {
+		key := m.tenant + "/" + m.key
+		h.keys[key] = append(h.keys[key], m)
+	}
+	h.count("messages accepted")
+}
+
+// promised takes a promise that a message never runs.
+func (h *QueueHistory) promise(m *queueMessage, status int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.promised = true
+	if len(m.runs) > 0 {
+		h.violate("REFUSED", "message %s ran and was then answered %d", m.id, status)
+	}
+}
+
+// earlyMost is how much earlier than its delay says a message may run.
+const earlyMost = 200 * time.Millisecond
+
+// begins judges a run that begins at a worker.
+func (h *QueueHistory) begins(id string, r *http.Request, body []byte, dedup bool) *queueRun {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.messages[id]
+	if m == nil {
+		if !strings.HasPrefix(id, "abuse-") {
+			h.violate("MIXED", "a worker gets %q, which nobody sent", id)
+		}
+		return &queueRun{began: time.Now()}
+	}
+	run := &queueRun{message: m, began: time.Now()}
+	h.count("runs")
+	if string(body) != m.body || r.RequestURI != m.path || r.Header.Get("X-Sequence-Key") != m.key {
+		h.violate("MIXED", "a worker gets %s with another body, path or key", id)
+	}
+	if m.tenant != "" && r.Header.Get("X-Tenant") != m.tenant {
+		h.violate("MIXED", "a worker gets %s as of tenant %q", id, r.Header.Get("X-Tenant"))
+	}
+	if m.promised {
+		h.violate("REFUSED", "message %s runs, which was told that it never does", id)
+	}
+	if run.began.Before(m.sent.Add(m.delay - earlyMost)) {
+		h.violate("ORDER", "message %s runs %v after it was sent, its delay is %v", id, run.began.Sub(m.sent), m.delay)
+	}
+	if !m.doneAt.IsZero() {
+		h.count("runs after a success")
+	}
+	h.checkSequence(m)
+	m.runs = append(m.runs, run)
+	return run
+}
+
+// checkSequence: whatever of the sequence was accepted before a message was sent has ended.
+func (h *QueueHistory) checkSequence(m *queueMessage) {
+	if m.key == "" {
+		return
+	}
+	for _, earlier := range h.keys[m.tenant+"/"+m.key] {
+		if earlier != m && earlier.acceptedAt.Before(m.sent) && earlier.doneAt.IsZero() {
+			h.violate("ORDER", "message %s of sequence %s begins, and %s before it has not ended", m.id, m.key, earlier.id)
+			return
+		}
+	}
+}
+
+func (h *QueueHistory) succeeded(run *queueRun, seal string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m := run.message; m != nil {
+		if m.doneAt.IsZero() {
+			m.doneAt = time.Now()
+		}
+		m.seals = append(m.seals, seal)
+	}
+}
+
+func (h *QueueHistory) failed(_ *queueRun, silent bool) {
+	if silent {
+		h.count("runs without an answer")
+		return
+	}
+	h.count("runs that failed")
+}
+
+// sender hands messages in.
+type sender struct {
+	number  int
+	tenant  tenant // the zero value: no keys are needed
+	history *QueueHistory
+	fronts  func() []string
+	random  *rand.Rand
+	sent    int
+}
+
+// run hands messages in until stop is closed.
+func (s *sender) run(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(s.random.Int64N(int64(2 * queuePause)))):
+			s.message()
+		}
+	}
+}
+
+// message hands one message in: each try after a promise is another one.
+func (s *sender) message() {
+	path, key := "/stock/1", ""
+	if s.random.IntN(2) == 0 {
+		path, key = "/lock/1", fmt.Sprintf("key-%d", s.random.IntN(queueKeys))
+	}
+	var delay time.Duration
+	if s.random.IntN(10) == 0 {
+		delay = queueDelay
+	}
+	length := 20 + s.random.IntN(400)
+	if s.random.IntN(20) == 0 {
+		length = queueLargest
+	}
+	body := strings.Repeat(fmt.Sprintf("%x.", s.random.Uint64()), length/17+1)
+	for range queueTries {
+		s.sent++
+		m := &queueMessage{
+			id: fmt.Sprintf("m%d-%d-%x", s.number, s.sent, s.random.Uint32()), path: path, key: key, body: body,
+			tenant: s.tenant.label, delay: delay, sent: time.Now(),
+		}
+		if !s.try(m) {
+			return
+		}
+		time.Sleep(time.Duration(s.random.Int64N(int64(2 * tenth))))
+	}
+}
+
+// try hands one try in, and tells whether to come again.
+func (s *sender) try(m *queueMessage) (again bool) {
+	s.history.sending(m)
+	header := map[string]string{"Host": queueHost, "X-Attempt-Id": m.id}
+	if m.key != "" {
+		header["X-Sequence-Key"] = m.key
+	}
+	if m.delay > 0 {
+		header["X-Defer-Ms"] = fmt.Sprint(m.delay.Milliseconds())
+	}
+	if s.tenant.key != "" {
+		header["X-Api-Key"] = s.tenant.key
+	}
+	fronts := s.fronts()
+	answer := callFor(queueTimeout, http.MethodPost, "http://"+fronts[s.random.IntN(len(fronts))]+m.path, header, []byte(m.body))
+	s.history.count(fmt.Sprintf("messages answered %d", answer.status))
+	switch answer.status {
+	case http.StatusAccepted:
+		s.history.accepted(m, answer.header.Get("X-Message-Id"))
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		s.history.promise(m, answer.status)
+		if answer.header.Get("Retry-After") == "" {
+			s.history.violate("RETURN", "%d without Retry-After", answer.status)
+		}
+		return true
+	case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+	default:
+		s.history.violate("CONFIG", "a message on %s is answered %d: %s", m.path, answer.status, answer.body)
+	}
+	return false
+}
+
+// How the end of a queue's messages is awaited.
+const (
+	completeTimeout = 60 * time.Second
+	statePoll       = 150 * time.Millisecond
+	stateTimeout    = 2 * time.Second
+)
+
+// checkEnd waits for every accepted message to end, and judges what is told of each.
+func (h *QueueHistory) checkEnd(fronts func() []string, keyOf func(label string) string) {
+	h.mu.Lock()
+	var open []*queueMessage
+	accepted := map[string][]span{}
+	for _, m := range h.messages {
+		if !m.acceptedAt.IsZero() {
+			open = append(open, m)
+			accepted[m.tenant] = append(accepted[m.tenant], span{m.sent, m.acceptedAt})
+		}
+	}
+	h.mu.Unlock()
+	for _, t := range tenants {
+		h.checkWindows(t, accepted[t.label])
+	}
+	last := map[string]string{}
+	var mu sync.Mutex
+	for end := time.Now().Add(completeTimeout); len(open) > 0 && time.Now().Before(end); time.Sleep(statePoll) {
+		var still []*queueMessage
+		askers := make(chan bool, 8)
+		var all sync.WaitGroup
+		for _, m := range open {
+			askers <- true
+			all.Go(func() {
+				defer func() { <-askers }()
+				state := h.state(m, fronts(), keyOf(m.tenant))
+				mu.Lock()
+				defer mu.Unlock()
+				if last[m.id] = state; state != "completed" {
+					still = append(still, m)
+				}
+			})
+		}
+		all.Wait()
+		open = still
+	}
+	slices.SortFunc(open, func(a, b *queueMessage) int { return a.sent.Compare(b.sent) })
+	for i, m := range open {
+		if i < 10 {
+			h.violate("LOST", "message %s, accepted %v before the end, is %s; %d runs, done: %v; %d such",
+				m.id, time.Since(m.acceptedAt).Round(time.Millisecond), last[m.id], len(m.runs), !m.doneAt.IsZero(), len(open))
+		}
+	}
+}
+
+// state asks how a message stands, and judges the answer.
+func (h *QueueHistory) state(m *queueMessage, fronts []string, key string) string {
+	header := map[string]string{"Host": queueHost}
+	if key != "" {
+		header["X-Api-Key"] = key
+	}
+	front := fronts[rand.IntN(len(fronts))]
+	answer := callFor(stateTimeout, http.MethodGet, "http://"+front+"/v1/message/"+m.name, header, nil)
+	if answer.status != http.StatusOK {
+		return fmt.Sprint(answer.status)
+	}
+	var x struct {
+		State string `json:"op_state"`
+		Seal  string `json:"timestamp"`
+	}
+	if json.Unmarshal(answer.body, &x) != nil {
+		return "unreadable"
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case x.State == "completed" && !slices.Contains(m.seals, x.Seal):
+		h.violate("MIXED", "message %s is completed with seal %q, which no run of it gave", m.id, x.Seal)
+	case x.State == "undeliverable" && m.doneAt.IsZero():
+		h.violate("LOST", "message %s is undeliverable, which has not ended", m.id)
+	}
+	return x.State
+}
--- /dev/null
+++ b/internal/soak/workers.go
@@ -0,0 +1,283 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The services of a queue's soak and how many workers each has.
+const (
+	stockService = "stock"
+	lockService  = "lock" // knows the ids of what it did
+	workersEach  = 3
+
+	workerSlots     = 8
+	workerHeartbeat = 300 * time.Millisecond
+	workTime        = 8 * time.Millisecond
+)
+
+// workerFleet is the workers of a deployment.
+type workerFleet struct {
+	deployment *deployment
+	history    *QueueHistory
+
+	mu      sync.Mutex
+	workers []*worker
+	last    int
+	done    map[string]string // of the service that knows ids: the seal of each success
+}
+
+// worker is one incarnation of a worker.
+type worker struct {
+	fleet   *workerFleet
+	id      string
+	service string
+	address string
+	quit    chan struct{}
+	server  *http.Server
+	calls   int64
+	mode    atomic.Value // Kind: how it misbehaves; empty: it does not
+	seals   atomic.Int64
+}
+
+func newWorkerFleet(d *deployment, history *QueueHistory) *workerFleet {
+	return &workerFleet{deployment: d, history: history, done: map[string]string{}}
+}
+
+// start starts all workers.
+func (f *workerFleet) start() error {
+	for _, service := range []string{stockService, lockService} {
+		for range workersEach {
+			if err := f.add(service); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// add starts a further worker.
+func (f *workerFleet) add(service string) error {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", f.deployment.plan.Net, workerHost))
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.last++
+	w := &worker{
+		fleet: f, id: fmt.Sprintf("w-%d-%x", f.last, rand.Uint32()), service: service,
+		address: listener.Addr().String(), quit: make(chan struct{}),
+	}
+	w.mode.Store(Kind(""))
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second}
+	go w.server.Serve(listener)
+	go w.heartbeats()
+	f.workers = append(f.workers, w)
+	return nil
+}
+
+func (f *workerFleet) list() []*worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*worker(nil), f.workers...)
+}
+
+// stop ends all workers.
+func (f *workerFleet) stop() {
+	for _, w := range f.list() {
+		w.kill()
+	}
+}
+
+// trouble has some workers misbehave for a while.
+func (f *workerFleet) trouble(t Trouble) {
+	if f == nil {
+		return
+	}
+	all := f.list()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if t.Kind == WorkerReplace {
+		f.replace(all[0])
+		return
+	}
+	struck := all[:max(1, len(all)/3)]
+	for _, w := range struck {
+		w.mode.Store(t.Kind)
+	}
+	time.Sleep(t.For)
+	for _, w := range struck {
+		w.mode.Store(Kind(""))
+	}
+}
+
+// replace has one worker vanish without a word, and another come.
+func (f *workerFleet) replace(w *worker) {
+	f.mu.Lock()
+	for i, x := range f.workers {
+		if x == w {
+			f.workers = append(f.workers[:i], f.workers[i+1:]...)
+			break
+		}
+	}
+	f.mu.Unlock()
+	w.kill()
+	if err := f.add(w.service); err != nil {
+		f.history.note("worker: %v", err)
+	}
+}
+
+func (w *worker) kill() {
+	close(w.quit)
+	w.server.Close()
+}
+
+// heartbeats registers the worker again and again.
+func (w *worker) heartbeats() {
+	for {
+		w.sendHeartbeat()
+		select {
+		case <-w.quit:
+			return
+		case <-time.After(workerHeartbeat):
+		}
+	}
+}
+
+func (w *worker) sendHeartbeat() {
+	w.calls++
+	body, _ := json.Marshal(map[string]any{
+		"service_ref": w.service, "transport_addr": w.address, "avail_zone": "zone-1", "config_release": "v1",
+		"capacity_slots": workerSlots, "op_state": "in_service", "warmup_left_ms": 0, "call_seq": w.calls,
+	})
+	list := w.fleet.deployment.controlAddresses()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, address := range list {
+		if call(http.MethodPut, "http://"+address+"/v1/instances/"+w.id, nil, body).status/100 == 2 {
+			return
+		}
+	}
+}
+
+// ServeHTTP works on a message.
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("X-Attempt-Id")
+	rw.Header().Set("X-Attempt-Id", attempt)
+	body, err := io.ReadAll(io.LimitReader(r.Body, 2<<20))
+	if err != nil {
+		return
+	}
+	if to := r.Header.Get("X-Intended-Instance"); to != "" && to != w.id {
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if w.service == lockService && w.repeated(rw, attempt) {
+		return
+	}
+	run := w.fleet.history.begins(attempt, r, body, w.service == lockService)
+	mode := w.mode.Load().(Kind)
+	w.work(mode, r)
+	w.answer(rw, attempt, mode, run)
+}
+
+// repeated answers what was done before, of a service that knows ids.
+func (w *worker) repeated(rw http.ResponseWriter, attempt string) bool {
+	w.fleet.mu.Lock()
+	seal, done := w.fleet.done[attempt]
+	if !done {
+		w.fleet.done[attempt] = "" // under way
+	}
+	w.fleet.mu.Unlock()
+	switch {
+	case !done:
+		return false
+	case seal == "":
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusConflict)
+	default:
+		rw.Header().Set("X-Server-Seal", seal)
+		rw.WriteHeader(http.StatusOK)
+	}
+	return true
+}
+
+// work takes its time.
+func (w *worker) work(mode Kind, r *http.Request) {
+	switch mode {
+	case WorkerHang:
+		select {
+		case <-r.Context().Done():
+		case <-time.After(5 * time.Second):
+		}
+	case WorkerLate:
+		time.Sleep(queueGuard + time.Duration(rand.Int64N(int64(300*time.Millisecond))))
+	default:
+		time.Sleep(time.Duration(rand.Int64N(int64(2 * workTime))))
+	}
+}
+
+// answer answers, or does not.
+func (w *worker) answer(rw http.ResponseWriter, attempt string, mode Kind, run *queueRun) {
+	fails := mode == WorkerFail || rand.IntN(50) == 0
+	seal := fmt.Sprintf("%s.%d", w.id, w.seals.Add(1))
+	if fails || mode == WorkerHang {
+		w.settle(attempt, "")
+		w.fleet.history.failed(run, mode == WorkerHang)
+		if mode == WorkerHang {
+			w.drop(rw)
+			return
+		}
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.settle(attempt, seal)
+	w.fleet.history.succeeded(run, seal)
+	switch mode {
+	case WorkerCut:
+		w.raw(rw, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Server-Se")
+	case WorkerTwice:
+		whole := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + seal + "\r\nContent-Length: 0\r\n\r\n"
+		w.raw(rw, whole+whole)
+	default:
+		rw.Header().Set("X-Server-Seal", seal)
+		rw.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d", workerSlots))
+		rw.WriteHeader(http.StatusOK)
+	}
+}
+
+// settle notes how a message ended at a service that knows ids.
+func (w *worker) settle(attempt, seal string) {
+	if w.service != lockService {
+		return
+	}
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if seal == "" {
+		delete(w.fleet.done, attempt)
+		return
+	}
+	w.fleet.done[attempt] = seal
+}
+
+// raw writes bytes in place of an answer, and ends the connection a moment later.
+func (w *worker) raw(rw http.ResponseWriter, text string) {
+	if hijacker, ok := rw.(http.Hijacker); ok {
+		if conn, _, err := hijacker.Hijack(); err == nil {
+			io.Copy(conn, bytes.NewReader([]byte(text)))
+			time.Sleep(tenth)
+			conn.Close()
+		}
+	}
+}
+
+// drop ends the connection without an answer.
+func (w *worker) drop(rw http.ResponseWriter) { w.raw(rw, "") }
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -25,13 +25,28 @@
 }
 
 func (f *folder) Create(fd storage.FileDesc) (storage.Writer, error) {
-	w, err := f.Storage.Create(fd)
+	w, err := f.createBelow(fd)
 	if err != nil || fd.Type == storage.TypeManifest { // that one's folder is synced below
 		return w, err
 	}
 	return &fresh{Writer: w, in: f}, nil
 }
 
+// createBelow makes a file, on a disk that may have the faults of a test.
+func (f *folder) createBelow(fd storage.FileDesc) (storage.Writer, error) {
+	if fault.Load() == nil {
+		return f.Storage.Create(fd)
+	}
+	if err := awaitDisk(); err != nil {
+		return nil, err
+	}
+	w, err := f.Storage.Create(fd)
+	if err != nil {
+		return nil, err
+	}
+	return faultyWriter{w}, nil
+}
+
 // fresh is a file that was just made.
 type fresh struct {
 	storage.Writer
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -50,7 +50,7 @@
 // dial connects to the link's peer, and writes to it until the link ends.
 func (l *Link) dial() {
 	h := l.hub
-	c, err := net.DialTimeout("tcp", string(l.to), h.bounds.Dial)
+	c, err := h.dialPeer(l.to)
 	if err != nil {
 		h.dialFailed(l.to, errors.Is(err, syscall.ECONNREFUSED))
 		l.Drop()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -45,6 +45,7 @@
 	Silence  time.Duration // unacknowledged bytes break a connection (TCP_USER_TIMEOUT)
 	RetryMin time.Duration
 	RetryMax time.Duration
+	Relay    string        // of tests: connections are made through this address; see dialPeer
 	Idle     time.Duration // a link that nothing used for so long is closed by who dialed it; 0: never
 }
 
