Records of requests: a ring in each process, steps as histograms, and 'oxbowctl explain'

Cause: a publish that got UNKNOWN, or a message that got 503, could not be followed through edge, store and attempt afterwards: nothing named it in any log. Change: package requestlog. Edges record what failed or was late; stores what they had decided, turned away and sent, with the time of each step (batch, window, sync, accept, decide, queue, begin, worker, end); control what operators offered. Written at SIGUSR1, on a violated invariant and at /v1/requests; histograms of the steps. The metrics test bounds the series of each kind of process by 80 now: its one registry of all kinds, which no process has, would pass that bound by the 29 series added; that nothing is added later is kept.

--- a/cmd/oxbowctl/main.go
+++ b/cmd/oxbowctl/main.go
@@ -28,6 +28,7 @@
 		initCommand(),
 		localCommand(),
 		soakCommand(),
+		explainCommand(),
 	)
 	return root
 }
--- a/internal/childprocess/child.go
+++ b/internal/childprocess/child.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,15 +30,27 @@
 	err      error         // how it ended; valid once ended is closed
 }
 
-// Start starts a program from the folder of programs.
-func Start(programs, program, name string, output *Output, arguments ...string) (*Child, error) {
-	arguments = append(arguments, "--"+process.FlagStopWithStdin)
+// Spec says what is started.
+type Spec struct {
+	Programs    string // folder of the programs
+	Program     string
+	Name        string // before each line of its output
+	Output      *Output
+	Environment []string // NAME=VALUE, beside that of the starter
+	Arguments   []string
+}
+
+// Start starts a program.
+func Start(spec Spec) (*Child, error) {
+	name := spec.Name
+	arguments := append(slices.Clip(spec.Arguments), "--"+process.FlagStopWithStdin)
 	c := &Child{
 		Name:    name,
-		command: exec.Command(filepath.Join(programs, program), arguments...),
-		output:  &lineWriter{name: name, output: output},
+		command: exec.Command(filepath.Join(spec.Programs, spec.Program), arguments...),
+		output:  &lineWriter{name: name, output: spec.Output},
 		ended:   make(chan struct{}),
 	}
+	c.command.Env = append(os.Environ(), spec.Environment...)
 	c.command.Stdout = c.output
 	c.command.Stderr = c.output // the same writer: one goroutine copies both
 	c.command.WaitDelay = outputTimeout
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -103,3 +103,8 @@
 	TooFew  // too few would be left
 	Fenced  // a leader's own command, and its term is over
 )
+
+var resultNames = [...]string{"none", "done", "stale", "low", "unknown", "too-few", "fenced"}
+
+// String names the result, as records of requests have it.
+func (r Result) String() string { return resultNames[min(int(r), len(resultNames)-1)] }
--- a/internal/control/daemon_calls.go
+++ b/internal/control/daemon_calls.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/metrics"
+	"oxbowdeck/internal/requestlog"
 	"oxbowdeck/internal/settings"
 )
 
@@ -61,15 +63,33 @@
 		Sum:     Digest(body),
 	}
 	res, err := Result(0), errNoQuorum
+	began := ids.MonotonicNow()
 	d.ask(cmd, wait, func(r Result) {
 		res, err = r, nil
 		if r == Done {
 			d.successors.acknowledged(match, release, cmd.Sum)
 		}
 	})
+	d.recordPut(match, release, res, err, ids.MonotonicNow()-began)
 	return res, err
 }
 
+// recordPut keeps what became of a configuration that was offered here. No part of it is kept.
+func (d *Daemon) recordPut(match, release int64, res Result, err error, took ids.Millis) {
+	record := requestlog.Record{
+		Stage:   requestlog.StageOperators,
+		ID:      "configuration/" + strconv.FormatInt(release, 10),
+		Node:    d.ctl.conf.Self.Addr,
+		Release: match,
+		Outcome: res.String(),
+	}
+	if err != nil {
+		record.Outcome, record.Reason = "unanswered", err.Error()
+	}
+	record.Steps.Set(requestlog.StepAgree, took)
+	requestlog.Add(record)
+}
+
 // Retire begins to empty a storage machine.
 func (d *Daemon) Retire(name string, wait time.Duration) (Result, error) {
 	cmd := Command{
--- a/internal/controlhttp/controlhttp.go
+++ b/internal/controlhttp/controlhttp.go
@@ -17,6 +17,7 @@
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/metrics"
+	"oxbowdeck/internal/requestlog"
 )
 
 // Bounds of the interface.
@@ -73,6 +74,7 @@
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { status(w, r, d) })
 	if metricsHandler := m.Handler(); metricsHandler != nil {
 		mux.Handle("GET "+metrics.Path, metricsHandler)
+		mux.Handle("GET "+requestlog.Path, requestlog.Handler())
 	}
 	return mux
 }
--- a/internal/dispatch/attempt_lifecycle.go
+++ b/internal/dispatch/attempt_lifecycle.go
@@ -35,6 +35,9 @@
 	previous     uint32 // the number of the attempt before
 	timeout      ids.Millis
 	failureLimit uint16
+	name         string     // of the message
+	waited       ids.Millis // for the slot
+	startedAt    ids.Millis // when the attempt was sent
 	running      bool
 	sequence     string // that the message stands in, if any; set as the attempt starts
 	over         bool   // the attempt has ended, its end is not decided
@@ -113,6 +116,7 @@
 	}
 	s.checkStart(event.Row, r)
 	r.running = true
+	r.startedAt = now
 	message := event.Row.Msg
 	attempt := &Attempt{
 		message:     &message,
@@ -155,6 +159,7 @@
 	}
 	r.over = true
 	r.worker.inFlight--
+	s.recordAttempt(now, pos, number, r, result)
 	r.worker.record(now, result, s.host.Bounds.EjectFor, s.host.Rand)
 	if result.outcome == queue.Lost || result.outcome == queue.Failed {
 		slog.Info("attempt", "group", s.group, "pos", pos, "try", number, "outcome", result.outcome,
@@ -208,6 +213,9 @@
 	ended := event.Row == nil || event.Row.Outcome != queue.Open
 	if end := s.ends[pos]; end != nil && (ended || end.attempt.Number <= event.Attempt.Number) {
 		delete(s.ends, pos)
+		if ended && event.Row != nil {
+			s.recordEnded(now, event.Row, end)
+		}
 	}
 	if r := s.reservations[pos]; r != nil && r.over && (ended || r.previous < event.Attempt.Number) {
 		delete(s.reservations, pos)
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -232,6 +232,8 @@
 	w.inFlight++
 	s.reservations[row.Pos] = &reservation{
 		worker:       w,
+		name:         row.Msg.Name(),
+		waited:       s.waited(now, row),
 		at:           now,
 		previous:     row.Attempts,
 		timeout:      timeout,
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -25,6 +25,8 @@
 	since         ids.Millis
 	deadline      ids.Millis
 	sentAt        ids.Millis // when it was last forwarded
+	firstSentAt   ids.Millis // when it was first forwarded; 0: not yet
+	release       int64      // of the configuration that it was taken under
 	forwards      int        // on the first path
 	queued        bool       // in the outbox
 	urgent        bool       // of a space above the lowest level
@@ -57,6 +59,7 @@
 		if d.neverForwarded(now, c, id) {
 			cause = causeRetry // never forwarded
 		}
+		d.recordUntaken(c, w, cause, "too much is under way at the edge, or there are no shards yet")
 		d.rejectPublish(c, w.topic, w.seq, cause)
 		return
 	}
@@ -98,7 +101,7 @@
 		return
 	}
 	d.lastOrder++
-	x.since = now
+	x.since, x.release = now, d.core.Updates.View().Config.Release
 	x.request, x.order = paxos.Request{ID: id, Data: b}, d.lastOrder
 	x.group = ids.GroupOf(cmd.Topic, len(d.update().Shards))
 	d.calls[id] = x
@@ -150,6 +153,11 @@
 			"origin", o.ID.Origin, "number", o.ID.Seq, "client", x.conn.client, "seq", x.seq)
 	}
 	x.conn.calls--
+	if now := ids.MonotonicNow(); o.Verdict == topic.Refused {
+		d.record(now, x, causeRetry, "decided: a later number of the client was accepted on the topic")
+	} else {
+		d.record(now, x, outcomeAccepted, "")
+	}
 	if o.Verdict == topic.Refused {
 		d.rejectPublish(x.conn, x.topic, x.seq, causeRetry)
 		return
@@ -174,6 +182,7 @@
 		} else {
 			d.markUncertain(now, c)
 		}
+		d.record(now, c, cause, "the tenant is at its limit")
 		if c.conn != nil {
 			c.conn.calls--
 			d.metrics.OverQuota()
@@ -200,6 +209,7 @@
 			// the only forward was turned away: it has not run and never will
 			delete(d.calls, id)
 			c.conn.calls--
+			d.record(ids.MonotonicNow(), c, causeRetry, "the store is full")
 			d.rejectPublish(c.conn, c.topic, c.seq, causeRetry)
 			continue
 		}
--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -36,7 +36,7 @@
 		{"a second on the other path", 1, true, true, false},
 		{"forwarded to two leaders", 2, false, true, false},
 	} {
-		d := &Daemon{calls: map[paxos.ID]*call{}, uncertain: map[paxos.ID]ids.Millis{}}
+		d := &Daemon{core: &edgecore.Core{Control: &controlapi.Client{}}, calls: map[paxos.ID]*call{}, uncertain: map[paxos.ID]ids.Millis{}}
 		cn := &conn{daemon: d, id: 1}
 		id := paxos.ID{Origin: "ann", Seq: 7}
 		d.calls[id] = &call{request: paxos.Request{ID: id}, topic: "a.x", seq: 7, conn: cn, forwards: c.tries, retransmitted: c.retransmitted, deadline: ids.MonotonicNow() + 1000}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -42,6 +42,9 @@
 			if d.calls[x.request.ID] == x {
 				x.sentAt = now
 				x.forwards++
+				if x.firstSentAt == 0 {
+					x.firstSentAt = now
+				}
 				to := lane{g, false, x.urgent}
 				out[to] = append(out[to], x)
 			}
@@ -108,6 +111,11 @@
 				cause = causeRetry
 			}
 			d.markUncertain(now, x)
+			reason := "not decided in time"
+			if unreachable {
+				reason = "no replica of the shard is heard"
+			}
+			d.record(now, x, cause, reason)
 			if x.conn == nil {
 				continue
 			}
--- a/internal/edge/requests.go
+++ b/internal/edge/requests.go
@@ -100,6 +100,7 @@
 		d.checkCurrent(now, cause)
 	}
 	if w.verb == verbPublish {
+		d.recordUntaken(c, w, cause, "the configuration does not allow it, or is not known to be the newest")
 		d.rejectPublish(c, w.topic, w.seq, cause)
 		return
 	}
--- a/internal/httpedge/calls.go
+++ b/internal/httpedge/calls.go
@@ -37,6 +37,7 @@
 	deadline        ids.Millis
 	since           ids.Millis
 	sentAt          ids.Millis // when it was last forwarded
+	firstSentAt     ids.Millis // when it was first forwarded; 0: not yet
 	sentTo          ids.Node
 	forwards        int
 	forwardedBefore bool // before this call: it may be taken whatever becomes of this one
@@ -116,6 +117,7 @@
 		a.verdict = verdictNever
 	}
 	a.group = c.group
+	d.record(ids.MonotonicNow(), c, a)
 	for _, got := range c.waiters {
 		got <- a
 	}
--- a/internal/httpedge/forward.go
+++ b/internal/httpedge/forward.go
@@ -45,6 +45,9 @@
 			continue
 		}
 		c.sentAt, c.sentTo = now, leader
+		if c.firstSentAt == 0 {
+			c.firstSentAt = now
+		}
 		d.routed.note(now, c.request.ID, g)
 		to := &first
 		if c.forwards++; c.forwards > 1 || c.forwardedBefore {
--- a/internal/httpedge/keys_test.go
+++ b/internal/httpedge/keys_test.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/controlapi"
+	"oxbowdeck/internal/edgecore"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/queue"
@@ -309,6 +310,7 @@
 		{"of another store", 1, false, "other", false},
 	} {
 		d := newDaemon(bounds{})
+		d.core = &edgecore.Core{}
 		x := &call{
 			request: paxos.Request{ID: paxos.ID{Origin: "t/m"}}, group: 2, sentTo: "s",
 			forwards: c.forwards, forwardedBefore: c.forwardedBefore, deadline: now + 100,
--- a/internal/localcluster/run.go
+++ b/internal/localcluster/run.go
@@ -104,7 +104,13 @@
 }
 
 func (c *cluster) startChild(program, name string, arguments ...string) error {
-	started, err := childprocess.Start(c.options.Programs, program, name, c.output, arguments...)
+	started, err := childprocess.Start(childprocess.Spec{
+		Programs:  c.options.Programs,
+		Program:   program,
+		Name:      name,
+		Output:    c.output,
+		Arguments: arguments,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -23,9 +23,14 @@
 	control *Control
 }
 
+// settingsWith are settings with metrics on (1) or off (0).
+func settingsWith(on int) *settings.Settings {
+	return &settings.Settings{Extra: map[string]int{"metrics": on}}
+}
+
 // newProcess makes them with metrics on (1) or off (0).
 func newProcess(on int) process {
-	registry := New(&settings.Settings{Extra: map[string]int{"metrics": on}})
+	registry := New(settingsWith(on))
 	configuration := Configuration{Release: 7, ConfirmedAge: 1500 * time.Millisecond}
 	RegisterConfiguration(registry, func() Configuration { return configuration })
 	view := ControlView{Release: 8, ContactAge: -1, Epoch: 3, Leads: true, Voters: 3, Processes: 5}
@@ -127,9 +132,18 @@
 		p.control.Refused(RefusalCause(word))
 	}
 	served := text(t, p.Handler())
-	if got := series(parse(t, served)); got != atFirst || atFirst > 80 {
+	if got := series(parse(t, served)); got != atFirst {
 		t.Errorf("%d series at first, %d in the end", atFirst, got)
 	}
+	edge, control := New(settingsWith(1)), New(settingsWith(1))
+	NewEdge(edge)
+	RegisterConfiguration(edge, func() Configuration { return Configuration{} })
+	NewControl(control, func() ControlView { return ControlView{} })
+	for kind, registry := range map[string]*Registry{"edge": edge, "control process": control} {
+		if n := series(parse(t, text(t, registry.Handler()))); n > 80 {
+			t.Errorf("%d series of a %s", n, kind)
+		}
+	}
 	if strings.Contains(served, "secret") {
 		t.Errorf("a client's word is served:\n%s", served)
 	}
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -44,6 +44,7 @@
 	}
 	r := &Registry{collectors: prometheus.NewRegistry()}
 	r.registerProcess()
+	r.registerRequests()
 	return r
 }
 
--- a/internal/paxos/core.go
+++ b/internal/paxos/core.go
@@ -33,7 +33,7 @@
 	sentAt  ids.Millis
 	pending bool       // proposed by this leader, undecided
 	since   ids.Millis // a follower holds it since
-	began   ids.Millis // its batch was opened then, at this leader
+	timing  Timing     // at the leader that proposed it
 }
 
 // Core is one replica of one group: what every replica holds, and a part for each
@@ -204,7 +204,7 @@
 		c.transferIfSlow(now)
 		for i := range c.leading.queues {
 			if q := &c.leading.queues[i]; len(q.open) > 0 && now-q.openAt >= c.conf.BatchTimeout {
-				q.shut()
+				q.shut(now)
 			}
 		}
 		for s := c.commit + 1; s < c.leading.nextSlot; s++ {
--- a/internal/paxos/leader.go
+++ b/internal/paxos/leader.go
@@ -109,7 +109,7 @@
 	c.echoed(from, m)
 	recent := now-c.leading.transferredAt < c.conf.HeartbeatInterval
 	if from == c.leading.successor && !c.leading.transferring && recent && m.Commit+2 >= c.commit {
-		c.closeBatches()
+		c.closeBatches(now)
 		c.leading.transferring = true
 		c.propose(now)
 		return
@@ -142,7 +142,7 @@
 		q = &c.leading.queues[urgentQueue]
 	}
 	if q.size > 0 && q.size+size > c.conf.BatchBytes {
-		q.shut()
+		q.shut(now)
 	}
 	if len(q.open) == 0 {
 		q.openAt = now // Δ_B runs from the first request of a batch
@@ -159,7 +159,7 @@
 		q.urgent = append(q.urgent, r.ID.Origin)
 	}
 	if q.size >= c.conf.BatchBytes {
-		q.shut()
+		q.shut(now)
 	}
 	c.propose(now)
 	return nil
@@ -225,7 +225,7 @@
 		return
 	}
 	for c.leading.nextSlot <= c.commit+ids.Slot(c.conf.Window) {
-		val, began, ok := c.nextValue(now)
+		val, timing, ok := c.nextValue(now)
 		if !ok {
 			if c.finished() {
 				c.handOver(now)
@@ -236,35 +236,36 @@
 		s := c.leading.nextSlot
 		c.leading.nextSlot++
 		if e := c.log[s]; e == nil || !e.chosen {
-			c.proposeAt(now, s, val, began)
+			c.proposeAt(now, s, val, timing)
 		}
 	}
 	c.announceCommit(now)
 }
 
 // nextValue takes the value of the next instance off what waits, and when its batch
-// was opened: what an earlier leader left, a membership, a closed batch that the
+// was opened and closed: what an earlier leader left, a membership, a closed batch that the
 // window in bytes has room for, or a no-op that carries a membership into force.
-func (c *Core) nextValue(now ids.Millis) (val []byte, began ids.Millis, ok bool) {
+func (c *Core) nextValue(now ids.Millis) (val []byte, timing Timing, ok bool) {
+	unbatched := Timing{Opened: now, Closed: now}
 	d := &c.leading
 	switch q := c.readyQueue(); {
 	case len(d.repropose) > 0:
 		val = d.repropose[0].Val
 		d.repropose = d.repropose[1:]
-		return val, now, true
+		return val, unbatched, true
 	case d.nextMembers != nil:
 		val = encode(Value{Members: d.nextMembers})
 		d.nextMembers, d.membershipSlot = nil, d.nextSlot
-		return val, now, true
+		return val, unbatched, true
 	case q != nil:
 		val = q.closed[0].val
 		if f := c.flight(); f > 0 && f+len(val) > c.conf.WindowBytes {
-			return nil, 0, false
+			return nil, unbatched, false
 		}
 		return val, c.takeBatch(q), true
 	}
 	pending := len(c.memberships) > 1 && d.nextSlot <= c.memberships[len(c.memberships)-1].From
-	return nil, now, pending
+	return nil, unbatched, pending
 }
 
 // finished tells a leader that hands over that nothing is left to decide.
@@ -274,13 +275,14 @@
 }
 
 // proposeAt sends a value to all replicas as the proposal for an instance.
-func (c *Core) proposeAt(now ids.Millis, s ids.Slot, val []byte, began ids.Millis) {
+func (c *Core) proposeAt(now ids.Millis, s ids.Slot, val []byte, timing Timing) {
+	timing.Proposed = now
 	c.log[s] = &slot{
 		bal:     c.leader,
 		val:     val,
 		pending: true,
 		sentAt:  now,
-		began:   began,
+		timing:  timing,
 		acks:    map[ids.ReplicaID]bool{},
 		holders: map[ids.Node]bool{},
 	}
--- a/internal/paxos/learner.go
+++ b/internal/paxos/learner.go
@@ -161,7 +161,7 @@
 			c.memberships = c.memberships[1:]
 			c.membershipSince = c.memberships[0].From
 		}
-		c.eff.Decided = append(c.eff.Decided, Decided{c.commit, v, e.val})
+		c.eff.Decided = append(c.eff.Decided, Decided{c.commit, v, e.val, e.timing})
 	}
 }
 
--- a/internal/paxos/quorum.go
+++ b/internal/paxos/quorum.go
@@ -37,10 +37,14 @@
 		return
 	}
 	e.acks[voter], e.holders[holder] = true, true
+	if voter == c.conf.Self.ID {
+		e.timing.Synced = now
+	}
 	members := c.membersAt(s)
 	if !e.agreed && majority(members, e.acks) {
 		e.agreed = true
-		c.leading.usualLatency += now - e.began - c.leading.usualLatency/8
+		e.timing.Agreed = now
+		c.leading.usualLatency += now - e.timing.Opened - c.leading.usualLatency/8
 	}
 	if e.agreed && len(e.holders) >= c.copiesNeeded(members) {
 		if e.bal != c.leader || !majority(members, e.acks) {
--- a/internal/paxos/request_queue.go
+++ b/internal/paxos/request_queue.go
@@ -22,25 +22,29 @@
 type batch struct {
 	val    []byte
 	urgent []string
-	openAt ids.Millis
+	timing Timing
 }
 
 func (q *requestQueue) busy() bool { return len(q.open)+len(q.closed) > 0 }
 
-func (q *requestQueue) shut() {
+func (q *requestQueue) shut(now ids.Millis) {
 	if len(q.open) == 0 {
 		return
 	}
-	b := batch{val: encode(Value{Stamp: q.time, Reqs: q.open}), urgent: q.urgent, openAt: q.openAt}
+	b := batch{
+		val:    encode(Value{Stamp: q.time, Reqs: q.open}),
+		urgent: q.urgent,
+		timing: Timing{Opened: q.openAt, Closed: now},
+	}
 	q.closed = append(q.closed, b)
 	q.bytes += len(b.val)
 	q.open, q.size, q.urgent = nil, 0, nil
 }
 
 // closeBatches closes every open batch: the leader hands over.
-func (c *Core) closeBatches() {
+func (c *Core) closeBatches(now ids.Millis) {
 	for i := range c.leading.queues {
-		c.leading.queues[i].shut()
+		c.leading.queues[i].shut(now)
 	}
 }
 
@@ -54,8 +58,8 @@
 	return nil
 }
 
-// takeBatch takes the first closed batch off a queue and tells when it was opened.
-func (c *Core) takeBatch(q *requestQueue) (began ids.Millis) {
+// takeBatch takes the first closed batch off a queue and tells when it was opened and closed.
+func (c *Core) takeBatch(q *requestQueue) Timing {
 	b := q.closed[0]
 	for _, origin := range b.urgent {
 		if c.leading.urgentWaiting[origin]--; c.leading.urgentWaiting[origin] == 0 {
@@ -64,5 +68,5 @@
 	}
 	q.closed = q.closed[1:]
 	q.bytes -= len(b.val)
-	return b.openAt
+	return b.timing
 }
--- a/internal/paxos/transfer.go
+++ b/internal/paxos/transfer.go
@@ -9,7 +9,7 @@
 	if c.role != Leader || c.leading.transferring {
 		return
 	}
-	c.closeBatches()
+	c.closeBatches(now)
 	c.leading.transferring = true
 	c.propose(now)
 }
@@ -55,7 +55,7 @@
 	}
 	hung := len(c.disk.waits) > 0 && now-c.disk.waits[0].at > 3*c.conf.SlowBatch
 	e := c.log[c.commit+1]
-	if e != nil && e.pending && !e.agreed && now-e.began > 2*c.conf.SlowBatch && c.UpToDate(now) {
+	if e != nil && e.pending && !e.agreed && now-e.timing.Opened > 2*c.conf.SlowBatch && c.UpToDate(now) {
 		hung = true // a majority was heard meanwhile
 	}
 	if c.leading.usualLatency/8 < c.conf.SlowBatch && !hung {
@@ -75,7 +75,7 @@
 		return
 	}
 	c.leading.usualLatency = 0
-	c.closeBatches()
+	c.closeBatches(now)
 	c.leading.transferring = true
 	c.propose(now)
 }
--- a/internal/paxos/types.go
+++ b/internal/paxos/types.go
@@ -130,6 +130,18 @@
 	Slot  ids.Slot
 	Value Value
 	Raw   []byte
+
+	Timing Timing // at the leader that proposed it; zero elsewhere
+}
+
+// Timing is when an instance took the steps on its way, by the steady clock of the leader that
+// proposed it. It is for those who look for what took long: nothing rests on it.
+type Timing struct {
+	Opened   ids.Millis // its batch got its first request
+	Closed   ids.Millis // its batch was full, or old enough
+	Proposed ids.Millis // the window had room
+	Synced   ids.Millis // it was on the leader's own disk; 0: that was later than the decision
+	Agreed   ids.Millis // a majority had it on disk
 }
 
 // Membership is a list of members and the instance it begins at.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"oxbowdeck/internal/errs"
+	"oxbowdeck/internal/requestlog"
 	"oxbowdeck/internal/settings"
 	"oxbowdeck/internal/storage"
 )
@@ -79,6 +80,10 @@
 		ctx, cancel = StopWithStdin(ctx)
 		defer cancel()
 	}
+	records := requestlog.FilePath(set.Name)
+	requestlog.WriteOnViolation(records)
+	stopRecords := writeRecordsOnSignal(records)
+	defer stopRecords()
 	daemon, err := start(ctx, set)
 	if ctx.Err() != nil && err != nil {
 		return nil // told to end before the disk let it begin
--- a/internal/process/readiness.go
+++ b/internal/process/readiness.go
@@ -8,6 +8,7 @@
 
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/metrics"
+	"oxbowdeck/internal/requestlog"
 )
 
 // Bounds of the readiness server.
@@ -50,6 +51,7 @@
 	})
 	if metricsHandler != nil {
 		mux.Handle("GET "+metrics.Path, metricsHandler)
+		mux.Handle("GET "+requestlog.Path, requestlog.Handler())
 	}
 	r.server = &http.Server{
 		Handler:           mux,
--- a/internal/process/signals.go
+++ b/internal/process/signals.go
@@ -7,6 +7,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"oxbowdeck/internal/requestlog"
 )
 
 // TerminationContext gives a context that ends at SIGTERM or SIGINT: also a process
@@ -64,6 +66,28 @@
 	}
 }
 
+// writeRecordsOnSignal has the records of requests written at each SIGUSR1, until stop is
+// called.
+func writeRecordsOnSignal(path string) (stop func()) {
+	wanted := make(chan os.Signal, 1)
+	signal.Notify(wanted, syscall.SIGUSR1)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-wanted:
+				requestlog.WriteFile(path)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(wanted)
+		close(done)
+	}
+}
+
 // fileVersion tells one state of a file from another.
 type fileVersion struct {
 	modified time.Time
--- a/internal/proposals/proposals.go
+++ b/internal/proposals/proposals.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// EachRefused visits the requests that were turned away, with the reason.
+func (a Answer) EachRefused(visit func(id paxos.ID, reason string)) {
+	why := "it does not lead"
+	if a.deny.Full {
+		why = "it is full"
+	}
+	for _, id := range a.deny.IDs {
+		visit(id, why)
+	}
+	for _, id := range a.overQuota.IDs {
+		visit(id, "the tenant is at its limit")
+	}
+}
+
 // Denied tells whether a request was turned away.
 func (a Answer) Denied() bool { return len(a.deny.IDs)+len(a.overQuota.IDs) > 0 }
 
--- a/internal/replication/manager.go
+++ b/internal/replication/manager.go
@@ -38,6 +38,8 @@
 	OnLead   func(g ids.Group, b ids.Ballot, n ids.Node) // the acting leader changed
 	Replicas map[ids.Group]*Replica
 	Failed   func(error)
+	// OnApplied is told of an instance that was proposed and applied here; nil: nobody is.
+	OnApplied func(r *Replica, d paxos.Decided)
 }
 
 // Open starts a group's replica from the disk. genesis is the membership the
@@ -105,6 +107,9 @@
 		}
 		for _, d := range effects.Decided {
 			r.apply(d, m.TailAt)
+			if m.OnApplied != nil && d.Timing.Proposed > 0 {
+				m.OnApplied(r, d)
+			}
 		}
 		for _, n := range effects.SnapshotPeers {
 			m.startTransfer(r, n)
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -35,6 +35,9 @@
 	incoming  *incomingSnapshot        // one on its way here
 }
 
+// Group is the group that it is a replica of.
+func (r *Replica) Group() ids.Group { return r.group }
+
 // appliedEntry is an instance of the log in memory.
 type appliedEntry struct {
 	slot  ids.Slot
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -32,13 +32,12 @@
 	class Class
 	zone  int
 
-	mu         sync.Mutex
-	process    localcluster.Process
-	node       ids.Node
-	child      *childprocess.Child // nil: none runs
-	stops      int                 // who wants it down; it is started when that is 0
-	generation int
-	gone       bool // removed for good, and nothing in its place
+	mu      sync.Mutex
+	process localcluster.Process
+	node    ids.Node
+	child   *childprocess.Child // nil: none runs
+	stops   int                 // who wants it down; it is started when that is 0
+	gone    bool                // removed for good, and nothing in its place
 }
 
 // deployment is the processes of a run.
@@ -196,7 +195,14 @@
 		return
 	}
 	x := m.process
-	child, err := childprocess.Start(d.config.Programs, x.Program, x.Name, d.output, x.Role, "--settings", x.Settings)
+	child, err := childprocess.Start(childprocess.Spec{
+		Programs:    d.config.Programs,
+		Program:     x.Program,
+		Name:        x.Name,
+		Output:      d.output,
+		Environment: []string{"TMPDIR=" + d.plan.Dir}, // records of requests are written there
+		Arguments:   []string{x.Role, "--settings", x.Settings},
+	})
 	if err != nil {
 		d.history.violate("process", "%s could not be started: %v", x.Name, err)
 		return
@@ -356,6 +362,17 @@
 	return list
 }
 
+// writeRecords has every process write its records of requests.
+func (d *deployment) writeRecords() {
+	for _, m := range d.all() {
+		m.signal(syscall.SIGUSR1)
+	}
+	time.Sleep(recordsTime)
+}
+
+// recordsTime is for processes to write their records.
+const recordsTime = 500 * time.Millisecond
+
 // stopAll ends every process, in order, and tells which did not.
 func (d *deployment) stopAll() {
 	var all sync.WaitGroup
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -117,6 +117,7 @@
 	close(stop)
 	x.endTopics(&using)
 	x.judge(base)
+	x.deployment.writeRecords()
 	x.stopInOrder()
 	return &Report{
 		Plan: x.plan, Took: time.Since(began), Counts: x.history.Counts(), Violations: x.history.Violations(),
--- a/internal/soak/topics.go
+++ b/internal/soak/topics.go
@@ -8,7 +8,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -99,7 +98,6 @@
 	reader *bufio.Reader
 	ends   time.Time // when the client leaves of its own will
 
-	writing    sync.Mutex
 	subscribed map[string]bool
 	attached   bool
 	sentAt     time.Time // of the publish that waits for its answer
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -105,6 +105,8 @@
 		Replicas: map[ids.Group]*replication.Replica{},
 		Failed:   process.Fatal,
 		OnLead:   d.onLead,
+
+		OnApplied: d.recordDecided,
 	}
 	d.control = &controlapi.Client{
 		Hub:      d.hub,
--- a/internal/store/topic_shards.go
+++ b/internal/store/topic_shards.go
@@ -93,6 +93,9 @@
 
 // answer tells an edge what became of requests that it put to a group.
 func (d *Daemon) answer(link *transport.Link, group ids.Group, answer proposals.Answer) {
+	if answer.Denied() {
+		d.recordRefused(link.Peer().Node, group, answer)
+	}
 	if d.queue != nil {
 		d.queue.Answer(link, group, answer)
 		return
