--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -35,6 +35,7 @@
 type options struct {
 	path          string
 	stopWithStdin bool
+	metrics       bool
 }
 
 // Command makes the command that runs a daemon in the foreground.
@@ -50,6 +51,8 @@
 	}
 	usage := "settings file (default: $" + settings.EnvSettings + ")"
 	c.Flags().StringVar(&opts.path, "settings", os.Getenv(settings.EnvSettings), usage)
+	c.Flags().BoolVar(&opts.metrics, "metrics", false,
+		"count what the process does, and serve it: as tuning.metrics=1 in the settings, which goes first")
 	StopWithStdinFlag(c, &opts.stopWithStdin)
 	return c
 }
@@ -67,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if opts.metrics {
+		set.DefaultMetrics()
+	}
 	slog.SetDefault(NewLogger(os.Stderr, set.LogLevel))
 	set.ApplyMemoryLimit()
 	if set.CheckDeployable() != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -281,6 +281,13 @@
 // Metrics tells whether the process counts what it does, and serves the counts.
 func (s *Settings) Metrics() bool { return s.Int("metrics", 0) == 1 }
 
+// DefaultMetrics switches metrics on unless the settings file says something of them.
+func (s *Settings) DefaultMetrics() {
+	if _, said := s.Extra["metrics"]; !said {
+		s.Extra["metrics"] = 1
+	}
+}
+
 // Heap is the memory that live objects took at the last collection.
 func Heap() int64 {
 	s := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
