Settings are watched from when they were read; SIGHUP never ends a process

Cause (class: something that is read first, and watched for changes only later, loses what changes between): the file's state was taken when the process had started, which may last for as long as its disk refuses; and signals had their default action while the file was read. Change: settingsFile keeps the digest of what it last read; a watch compares with that, first when it begins. SIGHUP is ignored before anything else. By digest, a file that is rewritten within one tick of its time, at the same size, is seen as well. Looked for elsewhere: the control update that a store resumes by (compared by its number at each update), limits read beside the actor (the newest is read next), sources of updates (numbers): none takes a state as seen that it did not read.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -66,7 +66,9 @@
 	if opts.path == "" {
 		return errs.Errorf("settings", "", "no settings file: give --settings FILE, or set %s", settings.EnvSettings)
 	}
-	set, err := settings.Read(opts.path)
+	ignoreHangups()
+	file := settingsFile{path: opts.path}
+	set, err := file.read()
 	if err != nil {
 		return err
 	}
@@ -98,8 +100,8 @@
 		return err
 	}
 	interval := time.Duration(set.Int("settings_look_s", 5)) * time.Second
-	WatchSettings(ctx, opts.path, interval, func() {
-		if changed := reread(opts.path); changed != nil {
+	file.watch(ctx, interval, func() {
+		if changed := file.reread(); changed != nil {
 			daemon.Reload(changed)
 		}
 	})
@@ -108,18 +110,6 @@
 	return nil
 }
 
-// reread checks a settings file that is said to have changed. Addresses and bounds
-// of a running process stay; a file that does not pass is reported.
-func reread(path string) *settings.Settings {
-	set, err := settings.Read(path)
-	if err != nil {
-		slog.Warn("settings-refused", "err", err)
-		return nil
-	}
-	slog.Info("settings-read", "node", set.Name, "seeds", len(set.Seeds))
-	return set
-}
-
 // Fatal ends the process on an error it cannot serve with: a damaged data folder
 // must not be written on.
 func Fatal(err error) {
--- a/internal/process/signals.go
+++ b/internal/process/signals.go
@@ -12,12 +12,16 @@
 )
 
 // TerminationContext gives a context that ends at SIGTERM or SIGINT: also a process
-// that is still starting ends in order. SIGHUP is ignored until WatchSettings.
+// that is still starting ends in order. SIGHUP is ignored until settings are watched.
 func TerminationContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	signal.Ignore(syscall.SIGHUP)
+	ignoreHangups()
 	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 }
 
+// ignoreHangups ends the default action of SIGHUP, which is to end the process. It comes before
+// anything that takes time: the settings may change while a process reads them.
+func ignoreHangups() { signal.Ignore(syscall.SIGHUP) }
+
 // orphanTimeout is how long a process whose starter has ended may take to stop.
 const orphanTimeout = 10 * time.Second
 
@@ -41,31 +45,6 @@
 	io.Copy(io.Discard, stream)
 }
 
-// WatchSettings calls reload at each SIGHUP and when the settings file at path
-// changed without one, and returns when the context ends.
-func WatchSettings(ctx context.Context, path string, interval time.Duration, reload func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	last := versionOf(path)
-	hangups := make(chan os.Signal, 4)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-hangups:
-			last = versionOf(path)
-			reload()
-		case <-ticker.C:
-			if now := versionOf(path); now != last {
-				last = now
-				reload()
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // writeRecordsOnSignal has the records of requests written at each SIGUSR1, until stop is
 // called.
 func writeRecordsOnSignal(path string) (stop func()) {
@@ -87,17 +66,3 @@
 		close(done)
 	}
 }
-
-// fileVersion tells one state of a file from another.
-type fileVersion struct {
-	modified time.Time
-	size     int64
-}
-
-func versionOf(path string) fileVersion {
-	info, err := os.Stat(path)
-	if err != nil {
-		return fileVersion{}
-	}
-	return fileVersion{modified: info.ModTime(), size: info.Size()}
-}
--- a/internal/process/signals_test.go
+++ b/internal/process/signals_test.go
@@ -15,9 +15,11 @@
 	os.WriteFile(path, []byte("a=1\n"), 0o644)
 	ctx, stop := context.WithCancel(context.Background())
 	seen := make(chan struct{}, 10)
+	file := settingsFile{path: path}
+	file.reread()
 	done := make(chan struct{})
 	go func() {
-		WatchSettings(ctx, path, 10*time.Millisecond, func() { seen <- struct{}{} })
+		file.watch(ctx, 10*time.Millisecond, func() { file.reread(); seen <- struct{}{} })
 		close(done)
 	}()
 	time.Sleep(50 * time.Millisecond)
