Soak: what is not synced is lost with a process, and runs end with everything dark

Change: with test_only.disk_fault a file's bytes reach it with a sync alone; each run ends with all processes killed at once, in two of three with as many disks lost as are borne. Looked for elsewhere: the loops that accept connections already went on after an error.

--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -5,8 +5,10 @@
 
 import (
 	"cmp"
+	"errors"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,6 +24,9 @@
 	MissesToSuspect = 4
 )
 
+// readPause follows a heartbeat that could not be read.
+const readPause = 10 * time.Millisecond
+
 // Watchers gives the nodes that watch n: the next k on the ring. The ring runs
 // zone by zone, so heartbeats seldom leave a zone.
 func Watchers(nodes []controlapi.Node, n ids.Node, k int) []ids.Node {
@@ -100,9 +105,13 @@
 		b := make([]byte, 512)
 		for {
 			n, _, err := w.conn.ReadFromUDP(b)
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil { // of one datagram: the next one may be read
+				time.Sleep(readPause)
+				continue
+			}
 			var x heartbeat
 			if cbor.Unmarshal(b[:n], &x) == nil {
 				heard(x.Node, x.Incarnation)
--- a/internal/requestlog/text.go
+++ b/internal/requestlog/text.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"oxbowdeck/internal/errs"
@@ -108,8 +109,13 @@
 	return filepath.Join(os.TempDir(), "oxbowdeck-requests-"+node+".jsonl")
 }
 
+// writing is held while a file is written: a signal and a violation may ask for it at once.
+var writing sync.Mutex
+
 // WriteFile writes all records that are kept in place of those that were written before.
 func WriteFile(path string) {
+	writing.Lock()
+	defer writing.Unlock()
 	err := writeFile(path)
 	if err != nil {
 		slog.Warn("requests-not-written", "path", path, "err", err)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,7 @@
 	Add           Kind = "add"             // one more store or edge
 	KillHalf      Kind = "kill-half"       // half of a class of processes at once
 	KillAll       Kind = "kill-all"        // everything at once
+	Blackout      Kind = "blackout"        // everything at once, and as many disks lost as are borne
 	DiskFull      Kind = "disk-full"       // every write is refused
 	DiskStall     Kind = "disk-stall"      // no write ends
 	DiskSlow      Kind = "disk-slow"       // each sync takes long
@@ -182,7 +183,22 @@
 			plan.Troubles = append(plan.Troubles, t)
 		}
 	}
-	return plan
+	return plan.closed(random)
+}
+
+// closed adds the trouble that ends a run, once everything that was lost is back: everything is
+// killed, in two of three runs with disks lost at the same moment.
+func (p Plan) closed(random *rand.Rand) Plan {
+	at := p.Shape.For
+	for _, t := range p.Troubles {
+		at = max(at, t.end())
+	}
+	t := Trouble{At: at, Kind: Blackout, For: 2*tenth + time.Duration(random.Int64N(int64(2*second)))}
+	if random.IntN(3) == 0 {
+		t.Kind = KillAll
+	}
+	p.Troubles = append(p.Troubles, t)
+	return p
 }
 
 func drawOne(random *rand.Rand, shape Shape, kinds []weighted) Trouble {
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -66,9 +66,43 @@
 		x.together(x.deployment.all(), t.For)
 		return
 	}
+	if t.Kind == Blackout {
+		x.blackout(t)
+		return
+	}
 	x.workers.trouble(t)
 }
 
+// blackout kills everything at once, right after work was accepted, and takes as many disks of
+// each class away as are borne.
+func (x *director) blackout(t Trouble) {
+	d := x.deployment
+	machines := d.all()
+	var all sync.WaitGroup
+	for _, m := range machines {
+		all.Go(func() { d.down(m, false) })
+	}
+	all.Wait()
+	for _, class := range counted {
+		var standing []*machine
+		for _, m := range d.machinesOf(class) {
+			if !m.gone {
+				standing = append(standing, m)
+			}
+		}
+		rand.Shuffle(len(standing), func(i, j int) { standing[i], standing[j] = standing[j], standing[i] })
+		for _, m := range standing[:d.config.Shape.Losses()] {
+			x.history.note("the disk of %s is lost", m.name())
+			d.wipe(m)
+		}
+	}
+	time.Sleep(t.For)
+	rand.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	for _, m := range machines {
+		d.up(m)
+	}
+}
+
 // together kills processes at once and starts them in any order afterwards.
 func (x *director) together(machines []*machine, pause time.Duration) {
 	var all sync.WaitGroup
--- a/internal/storage/fault.go
+++ b/internal/storage/fault.go
@@ -67,26 +67,46 @@
 	return nil
 }
 
-// faultyWriter is a file on a disk that may have faults.
+// faultyWriter is a file on a disk that may have faults. What is written reaches the file with a
+// sync alone, so that the end of the process loses the rest, as a loss of power does.
 type faultyWriter struct {
 	storage.Writer
+	unsynced []byte
 }
 
-// Write writes, unless the disk refuses.
-func (w faultyWriter) Write(b []byte) (int, error) {
+// Write keeps what is written, unless the disk refuses.
+func (w *faultyWriter) Write(b []byte) (int, error) {
 	if err := awaitDisk(); err != nil {
 		return 0, err
 	}
-	return w.Writer.Write(b)
+	w.unsynced = append(w.unsynced, b...)
+	return len(b), nil
 }
 
-// Sync syncs, unless the disk refuses.
-func (w faultyWriter) Sync() error {
+// Sync writes and syncs, unless the disk refuses.
+func (w *faultyWriter) Sync() error {
 	if err := awaitDisk(); err != nil {
 		return err
 	}
 	if currentFault() == FaultSlow {
 		time.Sleep(slowSync)
 	}
+	if err := w.flush(); err != nil {
+		return err
+	}
 	return w.Writer.Sync()
 }
+
+// Close ends the writing; whoever reads the file in this process finds all of it.
+func (w *faultyWriter) Close() error {
+	if err := w.flush(); err != nil {
+		return err
+	}
+	return w.Writer.Close()
+}
+
+func (w *faultyWriter) flush() error {
+	n, err := w.Writer.Write(w.unsynced)
+	w.unsynced = w.unsynced[n:]
+	return err
+}
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return faultyWriter{w}, nil
+	return &faultyWriter{Writer: w}, nil
 }
 
 // fresh is a file that was just made.
