--- /dev/null
+++ b/internal/soak/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package soak
+
+// buildFlags are those of the programs.
+var buildFlags []string
