--- a/internal/mutation/mutants.go
+++ b/internal/mutation/mutants.go
@@ -18,6 +18,7 @@
 	new      string
 	runs     []testRun
 	survives string // why no test can notice it; empty: a test must
+	says     string // what a test that notices it must print; empty: anything
 }
 
 // testRun is some tests of one package.
@@ -27,7 +28,7 @@
 }
 
 // parse reads a list of mutants. An entry is a line "mutant: NAME", lines
-// "file: PATH", "test: PACKAGE PATTERN" (one or more) and "survives: WHY" (or none),
+// "file: PATH", "test: PACKAGE PATTERN" (one or more), "says: TEXT" and "survives: WHY" (or none),
 // and then "replace:", "with:" and "end", each on a line of its own, with the old
 // and the new text between them. Empty lines and lines that begin with # are passed
 // over outside those texts.
@@ -58,6 +59,8 @@
 				return nil, fmt.Errorf("line %d: a package and a pattern of tests are wanted", number)
 			}
 			m.runs = append(m.runs, testRun{pkg, pattern})
+		case "says":
+			m.says = value
 		case "survives":
 			m.survives = value
 		case "replace":
--- a/internal/mutation/try.go
+++ b/internal/mutation/try.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -160,6 +161,9 @@
 		if len(names) == 0 { // it does not build
 			return failed, run, nil, fmt.Errorf("go test %s: %w: %s", run.pkg, err, brief(out))
 		}
+		if !bytes.Contains(out, []byte(m.says)) {
+			continue // for another reason than the one that is wanted
+		}
 		return noticed, run, names, nil
 	}
 	return survived, run, nil, nil
