Soak: troubles while the deployment is founded, at one process in turn, and ghosts of workers

Change: half of the plans kill a control process and a store while all start for the first time; two in five troubles strike what the one before struck; freezes of up to 16 s; workers that register and never answer; clients ask for counts; files change without a signal.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -285,6 +285,16 @@
 	d.notFirst(m)
 }
 
+// founded has every process start from now on as one of a deployment that runs already. Their
+// settings files change without a signal.
+func (d *deployment) founded() {
+	for _, m := range d.all() {
+		m.mu.Lock()
+		d.notFirst(m)
+		m.mu.Unlock()
+	}
+}
+
 // notFirst has a machine start with the settings of one that joins what runs.
 func (d *deployment) notFirst(m *machine) {
 	m.process.Text = strings.Replace(m.process.Text, "initial_start=true", "initial_start=false", 1)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -56,6 +56,7 @@
 	WorkerCut     Kind = "worker-cut"      // they end an answer in the middle
 	WorkerFail    Kind = "worker-fail"     // they answer 500
 	WorkerReplace Kind = "worker-replaced" // one vanishes, another registers
+	WorkerGhost   Kind = "worker-ghost"    // one registers whose address answers nothing, and says no more
 )
 
 // Class is a class of processes.
@@ -108,6 +109,7 @@
 // Plan is a run: its shape and its troubles, in order.
 type Plan struct {
 	Shape    Shape     `json:"shape"`
+	Start    []Trouble `json:"start"` // while the deployment is founded; from its start
 	Troubles []Trouble `json:"troubles"`
 }
 
@@ -131,7 +133,8 @@
 	{Kill, 10, classes[:], 2 * tenth, 4 * second},
 	{KillStarting, 4, classes[:], 2 * tenth, second},
 	{KillStopping, 4, classes[:], 2 * tenth, 2 * second},
-	{Freeze, 9, classes[:], 3 * tenth, 6 * second},
+	{Freeze, 8, classes[:], 3 * tenth, 6 * second},
+	{Freeze, 1, classes[:], 11 * second, 16 * second}, // longer than numbers are repeated
 	{Terminate, 8, classes[:], 2 * tenth, 3 * second},
 	{Hangup, 4, classes[:], tenth, second},
 	{Wipe, 5, counted, 2 * tenth, 2 * second},
@@ -161,6 +164,7 @@
 	{WorkerCut, 4, nil, second, 4 * second},
 	{WorkerFail, 3, nil, second, 3 * second},
 	{WorkerReplace, 6, nil, second, second},
+	{WorkerGhost, 3, nil, 3 * second, 6 * second},
 }
 
 // catchUp is how long after its return a process still counts as lost.
@@ -175,10 +179,13 @@
 	if shape.Queue {
 		kinds = append(kinds, workerTroubles...)
 	}
-	plan := Plan{Shape: shape}
+	plan := Plan{Shape: shape, Start: drawStart(random, shape)}
+	var last Trouble
 	for at := second; at < shape.For; at += 3*tenth + time.Duration(random.Int64N(int64(17*tenth))) {
 		t := drawOne(random, shape, kinds)
 		t.At = at
+		t.aimLike(last, random)
+		last = t
 		if plan.bears(t) {
 			plan.Troubles = append(plan.Troubles, t)
 		}
@@ -201,6 +208,35 @@
 	return p
 }
 
+// aimLike has two troubles in five strike the process that the one before it strikes.
+func (t *Trouble) aimLike(last Trouble, random *rand.Rand) {
+	if random.IntN(5) < 2 && t.Class != "" && t.Class == last.Class {
+		t.Place = last.Place
+	}
+}
+
+// startWithin is within what time after their start processes are killed that a plan strikes
+// while the deployment is founded.
+const startWithin = 1500 * time.Millisecond
+
+// drawStart draws, for half of the plans, which processes are killed while all of them start for
+// the first time: one of each class that counts.
+func drawStart(random *rand.Rand, shape Shape) (start []Trouble) {
+	if random.IntN(2) == 0 {
+		return nil
+	}
+	for _, class := range counted {
+		start = append(start, Trouble{
+			At:    time.Duration(random.Int64N(int64(startWithin))),
+			For:   tenth + time.Duration(random.Int64N(int64(second))),
+			Kind:  Kill,
+			Class: class,
+			Place: random.IntN(shape.count(class)),
+		})
+	}
+	return start
+}
+
 func drawOne(random *rand.Rand, shape Shape, kinds []weighted) Trouble {
 	total := 0
 	for _, k := range kinds {
@@ -229,7 +265,7 @@
 	switch t.Kind {
 	case KillAll:
 		return shape.count(class)
-	case Add, Hangup, WorkerHang, WorkerTwice, WorkerLate, WorkerCut, WorkerFail, WorkerReplace:
+	case Add, Hangup, WorkerHang, WorkerTwice, WorkerLate, WorkerCut, WorkerFail, WorkerReplace, WorkerGhost:
 		return 0
 	case KillHalf, Split:
 		if t.Class == class {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -102,9 +102,11 @@
 	for _, m := range x.deployment.all() {
 		x.deployment.start(m)
 	}
+	x.strikeStart()
 	if err := x.begin(ctx); err != nil {
 		return nil, err
 	}
+	x.deployment.founded()
 	base := x.deployment.usages()
 	x.history.began = time.Now()
 	stop := make(chan struct{})
@@ -124,6 +126,23 @@
 	}, nil
 }
 
+// strikeStart kills processes while the deployment is founded, beside what follows.
+func (x *run) strikeStart() {
+	d := x.deployment
+	for _, t := range x.plan.Start {
+		m := d.at(t.Class, t.Place)
+		time.AfterFunc(t.At, func() {
+			x.history.note("while it starts: %s", t)
+			d.down(m, false)
+			m.mu.Lock()
+			d.notFirst(m)
+			m.mu.Unlock()
+			time.Sleep(t.For)
+			d.up(m)
+		})
+	}
+}
+
 // begin gives the first configuration and waits until clients are served.
 func (x *run) begin(ctx context.Context) error {
 	if x.plan.Shape.Queue {
--- a/internal/soak/topics.go
+++ b/internal/soak/topics.go
@@ -99,6 +99,7 @@
 	ends   time.Time // when the client leaves of its own will
 
 	subscribed map[string]bool
+	asked      map[string]bool // topics whose subscribers were asked for
 	attached   bool
 	sentAt     time.Time // of the publish that waits for its answer
 	waiting    bool
@@ -119,7 +120,7 @@
 	life := time.Duration(c.random.ExpFloat64() * float64(meanConnection))
 	s := &session{
 		client: c, conn: conn, reader: bufio.NewReaderSize(conn, 64<<10), ends: now.Add(life),
-		subscribed: map[string]bool{}, nextAt: now, saidAt: now, heardAt: now,
+		subscribed: map[string]bool{}, asked: map[string]bool{}, nextAt: now, saidAt: now, heardAt: now,
 	}
 	attach := "ATTACH " + c.name
 	if c.key != "" {
@@ -146,6 +147,9 @@
 	return err == nil
 }
 
+// askEvery steps a client asks for a count of subscribers.
+const askEvery = 300
+
 // stepRead is how long a step waits for a line.
 const stepRead = 20 * time.Millisecond
 
@@ -158,7 +162,7 @@
 	if now.Sub(s.saidAt) > keepalivePause && !s.say("KEEPALIVE") {
 		return false
 	}
-	if !s.publish(now) {
+	if !s.publish(now) || !s.ask() {
 		return false
 	}
 	s.conn.SetReadDeadline(now.Add(stepRead))
@@ -213,6 +217,8 @@
 	}
 	switch {
 	case fields[0] == "ALIVE":
+	case fields[0] == "TALLY" && len(fields) == 3:
+		s.counted(fields[1], fields[2])
 	case fields[0] == "REDIRECT":
 		return false
 	case fields[0] == "SUCCESS" && len(fields) == 2 && fields[1] == "ATTACH":
@@ -254,6 +260,25 @@
 	return true
 }
 
+// counted takes a count of subscribers: there are never more than clients.
+func (s *session) counted(topic, number string) {
+	n, err := strconv.Atoi(number)
+	if !s.asked[topic] || err != nil || n < 0 || n > topicClients {
+		s.client.history.violate("MIXED", "%s: a count of %q on %s", s.client.name, number, topic)
+	}
+	s.client.history.count("counts of subscribers")
+}
+
+// ask asks for a count of subscribers now and then.
+func (s *session) ask() bool {
+	topic := s.client.topics[0]
+	if s.client.random.IntN(askEvery) > 0 || !s.attached {
+		return true
+	}
+	s.asked[topic] = true
+	return s.say("CENSUS " + topic)
+}
+
 func (s *session) acked(topic, number string) {
 	c := s.client
 	seq, _ := strconv.ParseUint(number, 10, 64)
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -105,9 +105,13 @@
 	}
 	all := f.list()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	if t.Kind == WorkerReplace {
+	switch t.Kind {
+	case WorkerReplace:
 		f.replace(all[0])
 		return
+	case WorkerGhost:
+		f.ghost(t.For)
+		return
 	}
 	struck := all[:max(1, len(all)/3)]
 	for _, w := range struck {
@@ -135,6 +139,21 @@
 	}
 }
 
+// ghost registers a worker that takes connections and says nothing, and one at an address where
+// nobody listens. Neither is heard of again.
+func (f *workerFleet) ghost(stays time.Duration) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", f.deployment.plan.Net, workerHost))
+	if err != nil {
+		return
+	}
+	for i, address := range []string{listener.Addr().String(), fmt.Sprintf("127.0.%d.%d:9", f.deployment.plan.Net, workerHost)} {
+		w := &worker{fleet: f, id: fmt.Sprintf("ghost-%d-%x", i, rand.Uint32()), service: stockService, address: address}
+		w.sendHeartbeat()
+	}
+	time.Sleep(stays)
+	listener.Close()
+}
+
 func (w *worker) kill() {
 	close(w.quit)
 	w.server.Close()
