--- a/cmd/oxbowctl/soak_command.go
+++ b/cmd/oxbowctl/soak_command.go
@@ -99,12 +99,12 @@
 		config.Shape = options.shape
 		config.Dir = filepath.Join(dir, fmt.Sprintf("seed-%d", options.shape.Seed))
 		report, err := soak.Run(ctx, config)
-		if err != nil {
-			return err
-		}
 		if ctx.Err() != nil {
 			break // it was cut short: its end says nothing
 		}
+		if err != nil {
+			return err
+		}
 		report.Print(out)
 		sum.Add(report)
 		if len(report.Violations) == 0 && !options.keep {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,9 @@
 	Replace       Kind = "replace"         // gone for good; an empty one comes at another address
 	Retire        Kind = "retire"          // a store is emptied in order, and taken away once that is done
 	Add           Kind = "add"             // one more store or edge
+	FreezeHalf    Kind = "freeze-half"     // half of a class stands still at once
+	FreezeAll     Kind = "freeze-all"      // everything stands still at once
+	Flap          Kind = "flap"            // connections are reset again and again, for long
 	KillHalf      Kind = "kill-half"       // half of a class of processes at once
 	KillAll       Kind = "kill-all"        // everything at once
 	Blackout      Kind = "blackout"        // everything at once, and as many disks lost as are borne
@@ -143,6 +146,9 @@
 	{Add, 2, []Class{Store, Edge}, second, second},
 	{KillHalf, 3, classes[:], 2 * tenth, 3 * second},
 	{KillAll, 1, nil, 2 * tenth, 2 * second},
+	{FreezeHalf, 2, classes[:], second, 6 * second},
+	{FreezeAll, 1, nil, second, 8 * second},
+	{Flap, 2, classes[:], 4 * second, 10 * second},
 	{DiskFull, 3, counted, second, 5 * second},
 	{DiskStall, 3, counted, 3 * tenth, 4 * second},
 	{DiskSlow, 3, counted, second, 5 * second},
@@ -263,11 +269,11 @@
 // strikes tells how many processes of a class a trouble takes out of service.
 func (t Trouble) strikes(shape Shape, class Class) int {
 	switch t.Kind {
-	case KillAll:
+	case KillAll, FreezeAll:
 		return shape.count(class)
 	case Add, Hangup, WorkerHang, WorkerTwice, WorkerLate, WorkerCut, WorkerFail, WorkerReplace, WorkerGhost:
 		return 0
-	case KillHalf, Split:
+	case KillHalf, FreezeHalf, Split:
 		if t.Class == class {
 			return shape.count(class) / 2
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -115,6 +115,10 @@
 	director := &director{deployment: x.deployment, history: x.history, workers: x.workers}
 	director.play(ctx, x.plan)
 	x.history.note("all troubles are over")
+	if ctx.Err() != nil {
+		close(stop)
+		return nil, errs.Wrap("soak", x.config.Dir, ctx.Err())
+	}
 	time.Sleep(calmTime)
 	close(stop)
 	x.endTopics(&using)
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -51,7 +51,7 @@
 	switch t.Kind {
 	case DiskFull, DiskStall, DiskSlow:
 		x.diskFault(m, t)
-	case Cut, CutOneWay, Split, Delay, Stall, Truncate, Reset, LoseAnswers, Mute:
+	case Cut, CutOneWay, Split, Delay, Stall, Truncate, Reset, Flap, LoseAnswers, Mute:
 		x.network(m, t)
 	case Wipe, Replace, Retire, Add:
 		x.change(m, t)
@@ -62,9 +62,13 @@
 
 // bringEverywhere is for troubles that strike no process of one class.
 func (x *director) bringEverywhere(t Trouble) {
-	if t.Kind == KillAll {
+	switch t.Kind {
+	case KillAll:
 		x.together(x.deployment.all(), t.For)
 		return
+	case FreezeAll:
+		x.standStill(x.deployment.all(), t.For)
+		return
 	}
 	if t.Kind == Blackout {
 		x.blackout(t)
@@ -117,6 +121,18 @@
 	}
 }
 
+// standStill stops processes and lets them go on, in any order, after a while.
+func (x *director) standStill(machines []*machine, pause time.Duration) {
+	for _, m := range machines {
+		m.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(pause)
+	rand.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	for _, m := range machines {
+		m.signal(syscall.SIGCONT)
+	}
+}
+
 // startWindow is within what time a process that starts is killed.
 const startWindow = 150 * time.Millisecond
 
@@ -151,12 +167,19 @@
 	case Hangup:
 		x.hangup(m)
 	case KillHalf:
-		list := d.machinesOf(m.class)
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		x.together(list[:len(list)/2], t.For)
+		x.together(x.half(m.class), t.For)
+	case FreezeHalf:
+		x.standStill(x.half(m.class), t.For)
 	}
 }
 
+// half gives half of the machines of a class.
+func (x *director) half(class Class) []*machine {
+	list := x.deployment.machinesOf(class)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:len(list)/2]
+}
+
 // killStopping kills a process that was told to stop, in the middle of that.
 func (x *director) killStopping(m *machine, t Trouble) {
 	m.mu.Lock()
@@ -214,7 +237,7 @@
 	case Mute:
 		c = when(either, effect{mute: true})
 		relay.reset(either)
-	case Reset:
+	case Reset, Flap:
 		for end := time.Now().Add(t.For); time.Now().Before(end); time.Sleep(2 * tenth) {
 			relay.reset(either)
 		}
