A publish costs the same however many numbers of its client are remembered

Cause (class: work for each request that grows with how busy its client is): the numbers of a client were looked through twice for each of its publishes, by every replica. Change: they rise, as only higher ones are accepted, so a number is found by halving and the old ones go from the front. Looked for elsewhere: the end of a connection looks at every topic and call of its edge (next); an edge of messages adds up the bytes of all calls for each message, an edge of topics looks at all calls in each turn, ending a message copies the rest of its sequence: bounded, listed as open.

--- a/internal/topic/publishers.go
+++ b/internal/topic/publishers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"oxbowdeck/internal/ids"
 )
@@ -15,10 +16,10 @@
 
 // publisher is what is known of one client's calls on one topic.
 type publisher struct {
-	_      struct{} `cbor:",toarray"`
-	High   ids.Seq  // the highest accepted number
-	Recent []acceptedCall
-	At     ids.Millis // when it was last accepted from
+	_      struct{}       `cbor:",toarray"`
+	High   ids.Seq        // the highest accepted number
+	Recent []acceptedCall // numbers and times rise: only what is above High is accepted
+	At     ids.Millis     // when it was last accepted from
 }
 
 // publisherKey names a client on a topic.
@@ -54,25 +55,22 @@
 
 // accepted tells whether a number was accepted lately.
 func (p *publisher) accepted(seq ids.Seq) bool {
-	for _, call := range p.Recent {
-		if call.Seq == seq {
-			return true
-		}
-	}
-	return false
+	_, found := slices.BinarySearchFunc(p.Recent, seq, func(call acceptedCall, seq ids.Seq) int {
+		return cmp.Compare(call.Seq, seq)
+	})
+	return found
 }
 
-// accept remembers a number, and lets go of those that are older than keep.
+// accept remembers a number, and lets go of those that are older than keep. A busy client has
+// tens of thousands of them, so each is looked at once, when it goes.
 func (p *publisher) accept(seq ids.Seq, now, keep ids.Millis) {
 	p.High = seq
 	p.At = now
-	kept := p.Recent[:0]
-	for _, call := range p.Recent {
-		if now-call.At <= keep {
-			kept = append(kept, call)
-		}
+	old := 0
+	for old < len(p.Recent) && now-p.Recent[old].At > keep {
+		old++
 	}
-	p.Recent = append(kept, acceptedCall{Seq: seq, At: now})
+	p.Recent = append(p.Recent[old:], acceptedCall{Seq: seq, At: now})
 }
 
 // Known tells the verdict of a call that is decided already.
