--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -104,10 +104,13 @@
 	x.since, x.release = now, d.core.Updates.View().Config.Release
 	x.request, x.order = paxos.Request{ID: id, Data: b}, d.lastOrder
 	x.group = ids.GroupOf(cmd.Topic, len(d.update().Shards))
-	d.calls[id] = x
+	d.addCall(x)
 	d.queue(x)
 }
 
+// addCall takes a call into the tables.
+func (d *Daemon) addCall(x *call) { d.calls[x.request.ID] = x }
+
 // submitSeat tells the shard who sits where; the count of subscribers reads it.
 func (d *Daemon) submitSeat(now ids.Millis, s *subscription, v topic.Verb) {
 	if len(d.update().Shards) == 0 {
--- a/internal/edge/subscriptions.go
+++ b/internal/edge/subscriptions.go
@@ -68,13 +68,18 @@
 		t = &followedTopic{name: w.topic, subscribers: map[*conn]*subscription{}}
 		d.topics[w.topic] = t
 	}
-	s.topic = t
-	t.subscribers[c] = s
-	c.subscriptions++
+	d.addSubscription(t, s)
 	d.metrics.Subscribed()
 	d.requestJoin(s)
 }
 
+// addSubscription takes a client's subscription to a topic into the tables.
+func (d *Daemon) addSubscription(t *followedTopic, s *subscription) {
+	s.topic = t
+	t.subscribers[s.conn] = s
+	s.conn.subscriptions++
+}
+
 // groupOf gives the shard of a topic.
 func (d *Daemon) groupOf(t ids.Topic) ids.Group {
 	return ids.GroupOf(t, max(1, len(d.update().Shards)))
