The end of a connection costs what it had, not what its edge has

Change: a connection knows its subscriptions and the calls that it awaits; the counts it had before are their lengths.

--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -54,7 +54,7 @@
 		d.publishAgain(old, c, w)
 		return
 	}
-	if len(d.calls) >= d.bounds.maxCalls || c.calls >= d.bounds.callsPerClient || len(d.update().Shards) == 0 {
+	if len(d.calls) >= d.bounds.maxCalls || len(c.calls) >= d.bounds.callsPerClient || len(d.update().Shards) == 0 {
 		cause := causeUnknown
 		if d.neverForwarded(now, c, id) {
 			cause = causeRetry // never forwarded
@@ -69,7 +69,6 @@
 		keep = ids.Millis(sp.KeepS * 1000)
 	}
 	guard := ids.Millis(sp.GuardMs)
-	c.calls++
 	x := &call{
 		conn: c, topic: w.topic, seq: w.seq, tenant: d.countedTenant(c), urgent: d.core.Updates.View().Config.Urgent(sp),
 		deadline: now + max(guard-d.bounds.giveUpMargin, guard/2),
@@ -88,10 +87,9 @@
 		return
 	}
 	if old.conn != nil {
-		old.conn.calls--
+		old.conn.answered(old)
 	}
-	old.conn = c
-	c.calls++
+	c.await(old)
 }
 
 // submit puts a command on its way to its group's leader.
@@ -109,7 +107,12 @@
 }
 
 // addCall takes a call into the tables.
-func (d *Daemon) addCall(x *call) { d.calls[x.request.ID] = x }
+func (d *Daemon) addCall(x *call) {
+	d.calls[x.request.ID] = x
+	if x.conn != nil {
+		x.conn.await(x)
+	}
+}
 
 // submitSeat tells the shard who sits where; the count of subscribers reads it.
 func (d *Daemon) submitSeat(now ids.Millis, s *subscription, v topic.Verb) {
@@ -155,7 +158,7 @@
 		invariant.Violated(invariant.AnswerBelongs,
 			"origin", o.ID.Origin, "number", o.ID.Seq, "client", x.conn.client, "seq", x.seq)
 	}
-	x.conn.calls--
+	x.conn.answered(x)
 	if now := ids.MonotonicNow(); o.Verdict == topic.Refused {
 		d.record(now, x, causeRetry, "decided: a later number of the client was accepted on the topic")
 	} else {
@@ -187,7 +190,7 @@
 		}
 		d.record(now, c, cause, "the tenant is at its limit")
 		if c.conn != nil {
-			c.conn.calls--
+			c.conn.answered(c)
 			d.metrics.OverQuota()
 			if cause == causeRetry {
 				d.refused.add(id)
@@ -211,7 +214,7 @@
 		if x.Full && c.copies() == 1 && c.conn != nil && d.neverForwarded(c.since, c.conn, id) {
 			// the only forward was turned away: it has not run and never will
 			delete(d.calls, id)
-			c.conn.calls--
+			c.conn.answered(c)
 			d.record(ids.MonotonicNow(), c, causeRetry, "the store is full")
 			d.rejectPublish(c.conn, c.topic, c.seq, causeRetry)
 			continue
--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -132,7 +132,7 @@
 	publish(fourth, 9)
 	d.outcome(shardapi.Outcome{ID: id, Verdict: topic.Fresh})
 	d.outcome(shardapi.Outcome{ID: id, Verdict: topic.Again}) // of the second copy
-	if got := string(fourth.pending); got != "ACK a.x 9\r\n" || len(third.pending) > 0 || third.calls+fourth.calls != 0 {
+	if got := string(fourth.pending); got != "ACK a.x 9\r\n" || len(third.pending) > 0 || len(third.calls)+len(fourth.calls) != 0 {
 		t.Fatalf("answered %q, and %q on the connection before", got, third.pending)
 	}
 }
--- a/internal/edge/conn.go
+++ b/internal/edge/conn.go
@@ -10,6 +10,7 @@
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/invariant"
+	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/transport"
 )
 
@@ -24,8 +25,8 @@
 	key           controlapi.KeyDigest
 	since         ids.Millis
 	heardAt       ids.Millis
-	subscriptions int
-	calls         int
+	subscriptions map[ids.Topic]*subscription
+	calls         map[paxos.ID]*call // that wait for their outcome
 	lastSeatCall  uint64
 	redirected    bool
 	pending       []byte // written since the last flush
@@ -45,6 +46,18 @@
 	return &conn{daemon: d, id: id, netConn: nc, since: now, heardAt: now, wake: make(chan struct{}, 1)}
 }
 
+// await has the outcome of a call answered here.
+func (c *conn) await(x *call) {
+	if c.calls == nil {
+		c.calls = map[paxos.ID]*call{}
+	}
+	c.calls[x.request.ID] = x
+	x.conn = c
+}
+
+// answered takes it that a call is answered, or that another connection awaits it.
+func (c *conn) answered(x *call) { delete(c.calls, x.request.ID) }
+
 // send queues bytes for the client; they leave at the end of the actor's turn.
 func (c *conn) send(b []byte) {
 	c.pending = append(c.pending, b...)
--- a/internal/edge/current_test.go
+++ b/internal/edge/current_test.go
@@ -112,7 +112,7 @@
 	{"census", take(request{verb: verbCensus, topic: "b.x"}),
 		"CENSUS b.x - NOSPACE", "CENSUS b.x - RETRY"},
 	{"subscribe past the limit", func(d *Daemon, c *conn) {
-		c.subscriptions = 1
+		c.subscriptions = map[ids.Topic]*subscription{"other": nil}
 		d.handle(c, request{verb: verbSubscribe, topic: "a.x"})
 	}, "SUBSCRIBE a.x - TOOLARGE", "SUBSCRIBE a.x - RETRY"},
 	{"subscribe at another shard's cursor",
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -79,7 +79,7 @@
 		d.core.TellLeave()
 	}
 	for _, c := range d.conns {
-		if !c.redirected && (c.calls <= 0 || time.Since(x.began) > callGrace) {
+		if !c.redirected && (len(c.calls) == 0 || time.Since(x.began) > callGrace) {
 			c.redirected = true
 			x.redirect(c)
 		}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -119,7 +119,7 @@
 			if x.conn == nil {
 				continue
 			}
-			x.conn.calls--
+			x.conn.answered(x)
 			d.rejectPublish(x.conn, x.topic, x.seq, cause)
 		case x.forwards > 0 && !x.queued && now-x.sentAt >= d.bounds.resend:
 			d.queue(x)
--- a/internal/edge/keys_test.go
+++ b/internal/edge/keys_test.go
@@ -166,8 +166,8 @@
 			t.Errorf("not told of the end of %s: %q", topic, got)
 		}
 	}
-	if gone.subscriptions != 0 || other.subscriptions != 1 || open.subscriptions != 1 {
-		t.Errorf("subscriptions: %d, %d, %d", gone.subscriptions, other.subscriptions, open.subscriptions)
+	if len(gone.subscriptions) != 0 || len(other.subscriptions) != 1 || len(open.subscriptions) != 1 {
+		t.Errorf("subscriptions: %d, %d, %d", len(gone.subscriptions), len(other.subscriptions), len(open.subscriptions))
 	}
 	d.joined(shardapi.Joined{Req: waiting, Topic: "a.y", End: 6})
 	d.deliverAll(d.topics["a.x"], 9, "bob", 1, []byte("body"))
@@ -203,8 +203,8 @@
 		if inForce {
 			want = "REJECT SUBSCRIBE a.x - NOSPACE"
 		}
-		if got := answer(c); got != want || c.subscriptions != 0 {
-			t.Errorf("in force %v: %q, %d subscriptions left", inForce, got, c.subscriptions)
+		if got := answer(c); got != want || len(c.subscriptions) != 0 {
+			t.Errorf("in force %v: %q, %d subscriptions left", inForce, got, len(c.subscriptions))
 		}
 	}
 }
@@ -272,7 +272,7 @@
 			keyed.since = ids.MonotonicNow() + long // an earlier connection may have sent it
 		}
 		d.overQuota(shardapi.QuotaDenied{IDs: []paxos.ID{id}})
-		if got := answer(keyed); !strings.HasSuffix(got, " "+want) || d.calls[id] != nil || keyed.calls != 0 {
+		if got := answer(keyed); !strings.HasSuffix(got, " "+want) || d.calls[id] != nil || len(keyed.calls) != 0 {
 			t.Errorf("number %d: %q, want %s", seq, got, want)
 		}
 		keyed.since = -long
--- a/internal/edge/requests.go
+++ b/internal/edge/requests.go
@@ -138,16 +138,13 @@
 	}
 	delete(d.conns, c.id)
 	d.metrics.Connections(len(d.conns))
-	for _, t := range d.topics {
-		if s := t.subscribers[c]; s != nil {
-			d.unsubscribe(s)
-		}
+	for _, s := range c.subscriptions {
+		d.unsubscribe(s)
 	}
-	for _, x := range d.calls {
-		if x.conn == c {
-			x.conn = nil
-		}
+	for _, x := range c.calls {
+		x.conn = nil
 	}
+	c.calls = nil
 	for k, x := range d.censuses {
 		if x.conn == c {
 			delete(d.censuses, k)
--- a/internal/edge/subscriptions.go
+++ b/internal/edge/subscriptions.go
@@ -43,7 +43,7 @@
 		}
 		return
 	}
-	if limit := d.core.Updates.View().Config.Limits.Subscriptions; limit > 0 && c.subscriptions >= limit {
+	if limit := d.core.Updates.View().Config.Limits.Subscriptions; limit > 0 && len(c.subscriptions) >= limit {
 		d.rejectIfCurrent(now, c, w, causeTooLarge)
 		return
 	}
@@ -77,7 +77,10 @@
 func (d *Daemon) addSubscription(t *followedTopic, s *subscription) {
 	s.topic = t
 	t.subscribers[s.conn] = s
-	s.conn.subscriptions++
+	if s.conn.subscriptions == nil {
+		s.conn.subscriptions = map[ids.Topic]*subscription{}
+	}
+	s.conn.subscriptions[t.name] = s
 }
 
 // groupOf gives the shard of a topic.
@@ -106,7 +109,7 @@
 	t := s.topic
 	delete(t.subscribers, s.conn)
 	delete(d.joins, s.request)
-	s.conn.subscriptions--
+	delete(s.conn.subscriptions, t.name)
 	d.metrics.Unsubscribed()
 	if s.active {
 		d.submitSeat(ids.MonotonicNow(), s, topic.Unsubscribe)
