--- a/internal/soak/abuse.go
+++ b/internal/soak/abuse.go
@@ -29,7 +29,9 @@
 // run has the abusers at work until stop is closed.
 func (a *abusers) run(stop chan struct{}, seed uint64) {
 	var all sync.WaitGroup
-	if !a.queue {
+	if a.queue {
+		all.Go(func() { a.floodQueue(stop, seed) })
+	} else {
 		all.Go(func() { a.flood(stop, rand.New(rand.NewPCG(seed, 0xf100d))) })
 	}
 	for i := range abuserCount {
--- a/internal/soak/flooder.go
+++ b/internal/soak/flooder.go
@@ -6,8 +6,10 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -70,3 +72,34 @@
 		a.history.count("flooder " + strings.Fields(line)[0])
 	}
 }
+
+// queueFloodWindow is how many messages a flooder of a queue has under way.
+const queueFloodWindow = 40
+
+// floodQueue hands messages in on a route of its own, as fast as they are accepted, until stop is
+// closed. Its service is one that others use, too: they wait for its workers, but no message of
+// another service does.
+func (a *abusers) floodQueue(stop chan struct{}, seed uint64) {
+	var all sync.WaitGroup
+	for i := range queueFloodWindow {
+		random := rand.New(rand.NewPCG(seed, 0xf100d+uint64(i)))
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				header := map[string]string{"Host": queueHost, "X-Attempt-Id": fmt.Sprintf("abuse-flood-%d-%d-%x", i, n, random.Uint32())}
+				if a.key != "" {
+					header["X-Api-Key"] = a.key
+				}
+				fronts := a.fronts()
+				answer := callFor(queueTimeout, http.MethodPost, "http://"+fronts[0]+"/abuse/1", header, []byte("flood"))
+				a.history.count(fmt.Sprintf("flooder answered %d", answer.status))
+				time.Sleep(time.Duration(random.Int64N(int64(40 * time.Millisecond))))
+			}
+		})
+	}
+	all.Wait()
+}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -63,6 +63,14 @@
 	fmt.Fprintf(h.log, "%s %8.3fs %s\n", time.Now().UTC().Format(logTime), h.now().Seconds(), line)
 }
 
+// noteTimes tells how long something took; troubles are among the reasons.
+func (h *History) noteTimes(what string, took []time.Duration) {
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		h.note("%s within: half %v, 90%% %v, 99%% %v", what, took[n/2], took[n*9/10], took[n*99/100])
+	}
+}
+
 // count counts something that the report tells.
 func (h *History) count(what string) { h.countMany(what, 1) }
 
--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -76,6 +76,7 @@
 	mu       sync.Mutex
 	messages map[string]*queueMessage   // by id
 	keys     map[string][]*queueMessage // accepted, by sequence
+	took     []time.Duration            // from the sending of a message to its 202
 }
 
 func newQueueHistory(h *History) *QueueHistory {
@@ -93,6 +94,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m.acceptedAt, m.name = time.Now(), name
+	h.took = append(h.took, m.acceptedAt.Sub(m.sent))
 	if m.name == "" {
 		m.name = m.id
 	}
@@ -281,6 +283,7 @@
 			accepted[m.tenant] = append(accepted[m.tenant], span{m.sent, m.acceptedAt})
 		}
 	}
+	h.noteTimes("accepted", h.took)
 	h.mu.Unlock()
 	for _, t := range tenants {
 		h.checkWindows(t, accepted[t.label])
--- a/internal/soak/topic_history.go
+++ b/internal/soak/topic_history.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -244,15 +243,7 @@
 		}
 	}
 	h.checkQuotas()
-	h.noteTimes()
-}
-
-// noteTimes tells how long acknowledgements took; troubles are among the reasons.
-func (h *TopicHistory) noteTimes() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	slices.Sort(h.took)
-	if n := len(h.took); n > 0 {
-		h.note("acknowledged within: half %v, 90%% %v, 99%% %v", h.took[n/2], h.took[n*9/10], h.took[n*99/100])
-	}
+	h.noteTimes("acknowledged", h.took)
 }
