--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -50,7 +52,8 @@
 	machines map[Class][]*machine
 
 	mu          sync.Mutex
-	generations map[string]int // of later machines, by class and zone
+	generations map[string]int      // of later machines, by class and zone
+	controls    map[*machine]string // where the control processes are called now
 }
 
 // newDeployment writes the settings of a run; nothing is started.
@@ -69,6 +72,7 @@
 		history:     history,
 		machines:    map[Class][]*machine{},
 		generations: map[string]int{},
+		controls:    map[*machine]string{},
 	}
 	var err error
 	if d.relay, err = NewRelay(fmt.Sprintf("127.0.%d.%d:%d", plan.Net, relayHost, plan.Base+relayPort)); err != nil {
@@ -134,9 +138,33 @@
 		return err
 	}
 	d.machines[class] = append(d.machines[class], m)
+	d.noteControl(m)
 	return nil
 }
 
+// noteControl keeps where a control machine is called; its lock is held, or nobody else has it.
+func (d *deployment) noteControl(m *machine) {
+	if m.class != Core {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.controls[m] = m.process.Control
+}
+
+// seedCount is how many seeds a settings file names.
+const seedCount = 3
+
+// seeds gives some of the control processes there are, as a settings file that is written now
+// names them.
+func (d *deployment) seeds() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := slices.Sorted(maps.Values(d.controls))
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), seedCount)]
+}
+
 // take puts a process on a machine, and writes its settings.
 func (m *machine) take(x localcluster.Process) error {
 	x.Text += "test_only.disk_fault=" + faultPath(x) + "\n"
@@ -194,6 +222,9 @@
 	if m.stops > 0 || m.gone || m.child != nil && !m.child.HasEnded() {
 		return
 	}
+	if m.child != nil { // a file that is written for a restart names the seeds of that moment
+		m.writeSeeds(d.seeds())
+	}
 	x := m.process
 	child, err := childprocess.Start(childprocess.Spec{
 		Programs:    d.config.Programs,
@@ -309,6 +340,8 @@
 	if err := m.take(x); err != nil {
 		d.history.violate("process", "%v", err)
 	}
+	m.writeSeeds(d.seeds())
+	d.noteControl(m)
 }
 
 // later gives a further process of a class in a zone.
@@ -328,6 +361,7 @@
 		d.history.violate("process", "%v", err)
 		return
 	}
+	m.writeSeeds(d.seeds())
 	d.mu.Lock()
 	d.machines[class] = append(d.machines[class], m)
 	d.mu.Unlock()
@@ -338,6 +372,11 @@
 func (d *deployment) setSeeds(m *machine, seeds []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.writeSeeds(seeds)
+}
+
+// writeSeeds writes a machine's settings with other seeds; its lock is held.
+func (m *machine) writeSeeds(seeds []string) {
 	lines := strings.Split(m.process.Text, "\n")
 	for i, line := range lines {
 		if strings.HasPrefix(line, "seed_nodes=") {
