--- a/cmd/oxbowctl/init_command.go
+++ b/cmd/oxbowctl/init_command.go
@@ -47,15 +47,23 @@
 }
 
 func checkDeployment(plan localcluster.Plan) error {
-	for _, bound := range []struct {
-		flag             string
-		value, low, high int
-	}{
+	return checkBounds([]flagBound{
 		{"--zones", plan.Zones, 1, 5},
 		{"--edges", plan.Edges, 1, 16},
 		{"--port", plan.Base, 1024, 65000},
 		{"--net", plan.Net, 0, 255},
-	} {
+	})
+}
+
+// flagBound is what a flag's value must be.
+type flagBound struct {
+	flag             string
+	value, low, high int
+}
+
+// checkBounds names the first flag whose value is out of its bounds.
+func checkBounds(bounds []flagBound) error {
+	for _, bound := range bounds {
 		if bound.value < bound.low || bound.value > bound.high {
 			return fmt.Errorf("%s %d: must be %d to %d", bound.flag, bound.value, bound.low, bound.high)
 		}
--- a/cmd/oxbowctl/soak_command.go
+++ b/cmd/oxbowctl/soak_command.go
@@ -56,21 +56,13 @@
 }
 
 func (o soakOptions) check() error {
-	for _, bound := range []struct {
-		flag             string
-		value, low, high int
-	}{
+	return checkBounds([]flagBound{
 		{"--zones", o.shape.Zones, 3, 5},
 		{"--edges", o.shape.Edges, 1, 8},
 		{"--runs", o.runs, 1, 10000},
 		{"--port", o.port, 1024, 65000},
 		{"--net", o.net, 0, 255},
-	} {
-		if bound.value < bound.low || bound.value > bound.high {
-			return fmt.Errorf("%s %d: must be %d to %d", bound.flag, bound.value, bound.low, bound.high)
-		}
-	}
-	return nil
+	})
 }
 
 // runSoak makes the runs one after the other.
--- a/internal/localcluster/run_test.go
+++ b/internal/localcluster/run_test.go
@@ -18,17 +18,15 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"oxbowdeck/internal/childprocess"
 )
 
 // programsDir is where buildPrograms puts the programs, once for all tests.
 var programsDir string
 
 var buildPrograms = sync.OnceValue(func() error {
-	out, err := exec.Command("go", "build", "-o", programsDir+"/", "../../cmd/...").CombinedOutput()
-	if err != nil {
-		return fmt.Errorf("build: %w: %s", err, out)
-	}
-	return nil
+	return childprocess.BuildPrograms(programsDir)
 })
 
 func TestMain(m *testing.M) {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"oxbowdeck/internal/childprocess"
-	"oxbowdeck/internal/errs"
-	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/localcluster"
 	"oxbowdeck/internal/settings"
 )
@@ -29,19 +27,6 @@
 // relayPort is added to a deployment's first port.
 const relayPort = 9
 
-// machine is what stands at a place: one process after another, with its disk.
-type machine struct {
-	class Class
-	zone  int
-
-	mu      sync.Mutex
-	process localcluster.Process
-	node    ids.Node
-	child   *childprocess.Child // nil: none runs
-	stops   int                 // who wants it down; it is started when that is 0
-	gone    bool                // removed for good, and nothing in its place
-}
-
 // deployment is the processes of a run.
 type deployment struct {
 	config   Config
@@ -165,27 +150,6 @@
 	return list[:min(len(list), seedCount)]
 }
 
-// take puts a process on a machine, and writes its settings.
-func (m *machine) take(x localcluster.Process) error {
-	x.Text += "test_only.disk_fault=" + faultPath(x) + "\n"
-	if err := os.WriteFile(x.Settings, []byte(x.Text), 0o644); err != nil {
-		return errs.Wrap("write settings", x.Name, err)
-	}
-	set, err := settings.Parse([]byte(x.Text))
-	if err != nil {
-		return errs.Wrap("settings", x.Name, err)
-	}
-	m.process, m.node = x, set.Inner(innerPort[m.class])
-	fmt.Sscanf(string(set.Zone), "zone-%d", &m.zone)
-	m.zone--
-	return nil
-}
-
-// faultPath is the file that tells a process which fault its disk has.
-func faultPath(x localcluster.Process) string {
-	return strings.TrimSuffix(x.Settings, ".conf") + ".fault"
-}
-
 // dataPath is a process's data folder.
 func (d *deployment) dataPath(x localcluster.Process) string {
 	return filepath.Join(d.plan.Dir, x.Name+".data")
@@ -285,29 +249,6 @@
 	d.startLocked(m)
 }
 
-// signal signals a machine's process, if one runs.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.child != nil && !m.child.HasEnded() {
-		m.child.Signal(s)
-	}
-}
-
-// name is the process's name now.
-func (m *machine) name() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.process.Name
-}
-
-// address is the process's internal address now.
-func (m *machine) address() ids.Node {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.node
-}
-
 // wipe empties a machine's disk; its process must be down.
 func (d *deployment) wipe(m *machine) {
 	m.mu.Lock()
@@ -375,36 +316,22 @@
 	m.writeSeeds(seeds)
 }
 
-// writeSeeds writes a machine's settings with other seeds; its lock is held.
-func (m *machine) writeSeeds(seeds []string) {
-	lines := strings.Split(m.process.Text, "\n")
-	for i, line := range lines {
-		if strings.HasPrefix(line, "seed_nodes=") {
-			lines[i] = "seed_nodes=" + strings.Join(seeds, ",")
-		}
-	}
-	m.process.Text = strings.Join(lines, "\n")
-	os.WriteFile(m.process.Settings, []byte(m.process.Text), 0o644)
-}
-
 // controlAddresses is where operators and workers call.
-func (d *deployment) controlAddresses() (list []string) {
-	for _, m := range d.machinesOf(Core) {
-		m.mu.Lock()
-		if !m.gone {
-			list = append(list, m.process.Control)
-		}
-		m.mu.Unlock()
-	}
-	return list
+func (d *deployment) controlAddresses() []string {
+	return d.addresses(Core, func(x localcluster.Process) string { return x.Control })
 }
 
 // fronts is where clients connect.
-func (d *deployment) fronts() (list []string) {
-	for _, m := range d.machinesOf(Edge) {
+func (d *deployment) fronts() []string {
+	return d.addresses(Edge, func(x localcluster.Process) string { return x.Front })
+}
+
+// addresses gives an address of each machine of a class that stands.
+func (d *deployment) addresses(class Class, of func(localcluster.Process) string) (list []string) {
+	for _, m := range d.machinesOf(class) {
 		m.mu.Lock()
 		if !m.gone {
-			list = append(list, m.process.Front)
+			list = append(list, of(m.process))
 		}
 		m.mu.Unlock()
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,13 +5,13 @@
 	"io"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"oxbowdeck/internal/childprocess"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/transport"
 )
@@ -20,12 +20,7 @@
 var programsDir string
 
 var buildPrograms = sync.OnceValue(func() error {
-	arguments := append([]string{"build", "-o", programsDir + "/"}, buildFlags...)
-	out, err := exec.Command("go", append(arguments, "../../cmd/...")...).CombinedOutput()
-	if err != nil {
-		return fmt.Errorf("build: %w: %s", err, out)
-	}
-	return nil
+	return childprocess.BuildPrograms(programsDir, buildFlags...)
 })
 
 func TestMain(m *testing.M) {
