--- a/internal/control/format.go
+++ b/internal/control/format.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -41,14 +42,14 @@
 func (s *State) Load(b []byte) error {
 	if len(b) == 0 || b[0]>>5 != 4 { // no list
 		var n State
-		if err := cbor.Unmarshal(b, &n); err != nil {
+		if err := codec.Unmarshal(b, &n); err != nil {
 			return err
 		}
 		*s = n
 		return nil
 	}
 	var o stateV1
-	if err := cbor.Unmarshal(b, &o); err != nil {
+	if err := codec.Unmarshal(b, &o); err != nil {
 		return err
 	}
 	n := State{Slot: o.Slot, Release: o.Release, Config: o.Config, Nodes: o.Nodes, Next: o.Next, Shards: o.Shards,
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -14,8 +14,7 @@
 package control
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -65,7 +64,7 @@
 	}
 	for _, r := range paxos.Order(d.Value.Reqs) {
 		var c Command
-		if err := cbor.Unmarshal(r.Data, &c); err != nil {
+		if err := codec.Unmarshal(r.Data, &c); err != nil {
 			continue
 		}
 		origin, result := s.session(r.ID, c.Low)
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
@@ -113,7 +114,7 @@
 				continue
 			}
 			var x heartbeat
-			if cbor.Unmarshal(b[:n], &x) == nil {
+			if codec.Unmarshal(b[:n], &x) == nil {
 				heard(x.Node, x.Incarnation)
 			}
 		}
--- a/internal/modelcheck/network.go
+++ b/internal/modelcheck/network.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 )
@@ -65,7 +66,7 @@
 	if p.snap == nil {
 		// as it is read off the wire
 		var m paxos.Msg
-		if err := cbor.Unmarshal(key[n:], &m); err != nil {
+		if err := codec.Unmarshal(key[n:], &m); err != nil {
 			panic(err)
 		}
 		p.msg = m
--- a/internal/paxos/types.go
+++ b/internal/paxos/types.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 )
 
@@ -200,7 +201,7 @@
 	if len(raw) == 0 {
 		return v, nil
 	}
-	err := cbor.Unmarshal(raw, &v)
+	err := codec.Unmarshal(raw, &v)
 	return v, err
 }
 
--- a/internal/queue/encoding.go
+++ b/internal/queue/encoding.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/quota"
 )
@@ -39,10 +40,10 @@
 // UnmarshalCBOR decodes either form.
 func (c *Command) UnmarshalCBOR(data []byte) error {
 	if len(data) == 0 || data[0]&headBits != mapHead {
-		return cbor.Unmarshal(data, (*plainCommand)(c))
+		return codec.Unmarshal(data, (*plainCommand)(c))
 	}
 	var decoded tenantCommand
-	if err := cbor.Unmarshal(data, &decoded); err != nil {
+	if err := codec.Unmarshal(data, &decoded); err != nil {
 		return err
 	}
 	*c = Command{Verb: decoded.Verb, Msg: decoded.Msg, Reserve: decoded.Reserve}
--- a/internal/simulation/fleet_network.go
+++ b/internal/simulation/fleet_network.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -86,7 +87,7 @@
 				return
 			}
 			var x paxos.Msg
-			if err := cbor.Unmarshal(raw, &x); err != nil {
+			if err := codec.Unmarshal(raw, &x); err != nil {
 				f.fail("decode: %v", err)
 			}
 			peer.do(func(now ids.Millis) {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 )
@@ -28,7 +29,7 @@
 				return
 			}
 			var m paxos.Msg
-			if err := cbor.Unmarshal(raw, &m); err != nil {
+			if err := codec.Unmarshal(raw, &m); err != nil {
 				w.fail("decode: %v", err)
 				return
 			}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -82,4 +82,3 @@
 	m.process.Text = strings.Join(lines, "\n")
 	os.WriteFile(m.process.Settings, []byte(m.process.Text), 0o644)
 }
-
--- a/internal/statemachine/progress.go
+++ b/internal/statemachine/progress.go
@@ -4,8 +4,7 @@
 package statemachine
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 )
@@ -39,7 +38,7 @@
 func EachCommand[C any](decided paxos.Decided, run func(paxos.ID, ids.Position, *C)) {
 	for i, request := range paxos.Order(decided.Value.Reqs) {
 		var command C
-		if cbor.Unmarshal(request.Data, &command) != nil {
+		if codec.Unmarshal(request.Data, &command) != nil {
 			continue
 		}
 		run(request.ID, ids.MakePosition(decided.Slot, i), &command)
--- a/internal/statemachine/snapshot.go
+++ b/internal/statemachine/snapshot.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/codec"
 )
 
 // headerRoom is added to the size that a snapshot is expected to have.
@@ -46,7 +48,7 @@
 
 // OpenSnapshot reads a snapshot from its beginning, and decodes its header.
 func OpenSnapshot(snapshot []byte, header any) (*SnapshotReader, error) {
-	r := &SnapshotReader{decoder: cbor.NewDecoder(bytes.NewReader(snapshot))}
+	r := &SnapshotReader{decoder: codec.NewDecoder(bytes.NewReader(snapshot))}
 	return r, r.Read("header", header)
 }
 
--- a/internal/storage/reader.go
+++ b/internal/storage/reader.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"math"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/opt"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -89,7 +89,7 @@
 	defer rows.Release()
 	for rows.Next() {
 		var row entryRow
-		if err := cbor.Unmarshal(rows.Value(), &row); err != nil {
+		if err := codec.Unmarshal(rows.Value(), &row); err != nil {
 			return nil, errs.Errorf("read entry", "disk", "%w: %v", ErrDamaged, err)
 		}
 		slot := ids.Slot(binary.BigEndian.Uint64(rows.Key()[keyHead:]))
@@ -107,7 +107,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := cbor.Unmarshal(row, into); err != nil {
+	if err := codec.Unmarshal(row, into); err != nil {
 		return false, fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
 	return true, nil
--- a/internal/store/topic_shards.go
+++ b/internal/store/topic_shards.go
@@ -1,8 +1,7 @@
 package store
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/proposals"
@@ -127,7 +126,7 @@
 		return 0, false
 	}
 	var command topic.Command
-	if cbor.Unmarshal(request.Data, &command) != nil || command.Verb != topic.Publish {
+	if codec.Unmarshal(request.Data, &command) != nil || command.Verb != topic.Publish {
 		return 0, false
 	}
 	return shard.state.Known(command.Client, command.Topic, command.Seq)
--- a/internal/transport/reader.go
+++ b/internal/transport/reader.go
@@ -8,9 +8,9 @@
 	"net"
 	"sync/atomic"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/flate"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 )
 
@@ -97,7 +97,7 @@
 // before, or it is of an earlier incarnation.
 func (l *Link) greeted(body []byte) (Hello, bool) {
 	var hello Hello
-	if cbor.Unmarshal(body, &hello) != nil || l.to != "" || l.Peer().Node != "" {
+	if codec.Unmarshal(body, &hello) != nil || l.to != "" || l.Peer().Node != "" {
 		return hello, false
 	}
 	l.mu.Lock()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -18,8 +18,7 @@
 	"syscall"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 )
 
@@ -61,7 +60,7 @@
 // Get decodes a frame's content.
 func Get[T any](b []byte) (T, bool) {
 	var v T
-	return v, cbor.Unmarshal(b, &v) == nil
+	return v, codec.Unmarshal(b, &v) == nil
 }
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall lacks.
