A client gets all that it missed, in pieces that it has room for

Cause (class: a bound for those that do not read, applied to an answer that is larger by right): the whole answer to a subscription went into the client's buffer at once. Change: as much as there is room for is handed over; the subscription is behind then, and gets nothing more until the client has read that; then the replica is asked for what comes after. Nothing of it is kept at the edge. Looked for elsewhere: a topic taken up at another replica hands what was missed meanwhile to clients at once; one that has no room for it is cut off and comes back this way. Left: each piece is cut from an answer that has all the rest; one of more than 16 MB does not pass a busy link.

--- a/internal/edge/conn.go
+++ b/internal/edge/conn.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowdeck/internal/controlapi"
@@ -31,6 +32,9 @@
 	redirected    bool
 	pending       []byte // written since the last flush
 	dirty         bool
+	behind        map[*subscription]bool // that go on once what waits here was read; see backlog.go
+
+	drained atomic.Bool // the edge is to be told when nothing waits to be written
 
 	mu      sync.Mutex
 	out     []byte
@@ -145,6 +149,7 @@
 			return
 		}
 		if len(b) == 0 {
+			c.tellDrained()
 			spare = b
 			if last {
 				c.netConn.Close()
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -43,7 +43,7 @@
 	var line []byte
 	t.recent.check(t.name, p, client, seq)
 	for _, s := range t.subscribers {
-		if s.active && p > s.last {
+		if s.active && !s.behind && p > s.last {
 			if line == nil {
 				line = d.render(t.name, p, client, seq, body)
 			}
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -300,7 +300,7 @@
 	t.flowing = false
 	active, retained := false, false
 	for _, s := range t.subscribers {
-		active = active || s.active
+		active = active || s.active && !s.behind
 		retained = retained || s.retained
 	}
 	if active {
@@ -312,7 +312,7 @@
 		})
 	}
 	for _, s := range t.subscribers {
-		if !s.active {
+		if !s.active || s.behind {
 			d.requestJoin(s)
 		}
 	}
--- a/internal/edge/subscriptions.go
+++ b/internal/edge/subscriptions.go
@@ -23,6 +23,7 @@
 	topic    *followedTopic
 	request  uint64       // under which the replica followed was asked
 	active   bool         // the replica answered
+	behind   bool         // more was missed than there was room for; nothing is handed to it meanwhile
 	last     ids.Position // everything up to here was handed to the client
 	sent     ids.Position // the last message that was handed to it
 	from     ids.Position // where the client takes it up, if hasFrom
@@ -99,15 +100,20 @@
 	s.request = d.lastRequest
 	d.joins[s.request] = s
 	s.topic.flowing = true
-	l.Send(shardapi.KindWatch, shardapi.Watch{
+	watch := shardapi.Watch{
 		Req: s.request, Topic: s.topic.name, From: s.from, Has: s.hasFrom, Keeps: s.retained,
-	})
+	}
+	if s.behind {
+		watch.From, watch.Has = s.last, true
+	}
+	l.Send(shardapi.KindWatch, watch)
 }
 
 // unsubscribe ends a subscription.
 func (d *Daemon) unsubscribe(s *subscription) {
 	t := s.topic
 	delete(t.subscribers, s.conn)
+	delete(s.conn.behind, s)
 	delete(d.joins, s.request)
 	delete(s.conn.subscriptions, t.name)
 	d.metrics.Unsubscribed()
@@ -132,6 +138,10 @@
 		return
 	}
 	delete(d.joins, j.Req)
+	if s.behind {
+		d.joinedBehind(s, j)
+		return
+	}
 	if j.Expired {
 		d.rejectIfCurrent(ids.MonotonicNow(), s.conn, request{verb: verbSubscribe, topic: j.Topic}, causeExpired)
 		d.unsubscribe(s)
@@ -148,9 +158,7 @@
 		cursor = ids.Cursor(d.groupOf(j.Topic), j.End)
 	}
 	s.conn.sendSubscribed(j.Topic, cursor)
-	for _, it := range j.Items {
-		d.deliver(s, it.Pos, d.render(j.Topic, it.Pos, it.Client, it.Seq, it.Body))
-	}
+	d.catchUp(s, j)
 	if j.End > s.topic.last {
 		s.topic.last = j.End
 	}
