A topic is taken up at another replica from the place of the lowest of its subscriptions

Cause (class: one place kept for several who may stand at different ones): a topic's place was the highest that any of its subscriptions had reached. One that joined at a replica which lagged behind it stood lower, and lost what lay between when that replica was left before it had caught up. Change: a subscription that is answered sets the topic's place to where that replica stands, lower or higher; the others pass over what they had, as they do with any repeat. One that is behind asks from its own place. Looked for elsewhere: the places of shards at stores and of updates at edges are one reader's each.

--- a/internal/edge/backlog.go
+++ b/internal/edge/backlog.go
@@ -74,7 +74,5 @@
 		return
 	}
 	d.catchUp(s, joined)
-	if joined.End > s.topic.last {
-		s.topic.last = joined.End
-	}
+	s.topic.reached(joined.End, s.behind)
 }
--- a/internal/edge/subscriptions.go
+++ b/internal/edge/subscriptions.go
@@ -17,6 +17,15 @@
 	recent        recentMessages
 }
 
+// reached takes it that a subscription was handed everything up to a place, unless it is behind.
+// A replica may lag: then the topic's place is that of the lowest of its subscriptions, from which
+// it is taken up at another replica, and the others pass over what they had.
+func (t *followedTopic) reached(end ids.Position, behind bool) {
+	if !behind {
+		t.last = end
+	}
+}
+
 // subscription is one client's to a topic.
 type subscription struct {
 	conn     *conn
@@ -159,8 +168,6 @@
 	}
 	s.conn.sendSubscribed(j.Topic, cursor)
 	d.catchUp(s, j)
-	if j.End > s.topic.last {
-		s.topic.last = j.End
-	}
+	s.topic.reached(j.End, s.behind)
 	d.submitSeat(ids.MonotonicNow(), s, topic.Subscribe)
 }
