--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -318,6 +318,17 @@
 	}
 }
 
+// reportTime is how long after its end a message is told of for sure: report_s of the settings, less
+// what its decision may have come later than the worker's answer.
+const reportTime = 100 * time.Second
+
+// forgotten tells whether a message ended so long ago that nothing needs to be known of it.
+func (h *QueueHistory) forgotten(m *queueMessage) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !m.doneAt.IsZero() && time.Since(m.doneAt) > reportTime
+}
+
 // state asks how a message stands, and judges the answer.
 func (h *QueueHistory) state(m *queueMessage, fronts []string, key string) string {
 	header := map[string]string{"Host": queueHost}
@@ -326,6 +337,9 @@
 	}
 	front := fronts[rand.IntN(len(fronts))]
 	answer := callFor(stateTimeout, http.MethodGet, "http://"+front+"/v1/message/"+m.name, header, nil)
+	if answer.status == http.StatusNotFound && h.forgotten(m) {
+		return "completed"
+	}
 	if answer.status != http.StatusOK {
 		return fmt.Sprint(answer.status)
 	}
