--- a/internal/soak/flooder.go
+++ b/internal/soak/flooder.go
@@ -18,6 +18,9 @@
 	floodWindow = 200
 	// floodLife is how long a flooder keeps a connection.
 	floodLife = 8 * time.Second
+	// floodRate is how many publishes a second a flooder makes at the most: enough to have more
+	// than 131,072 kept, and few enough for the other runs of the machine.
+	floodRate = 3000
 )
 
 // flood publishes under one name on a topic of its own as fast as it is acknowledged, over one
@@ -50,6 +53,7 @@
 		return seq
 	}
 	body := strings.Repeat("f", minBody)
+	began, first := time.Now(), seq
 	for open := 0; ; {
 		select {
 		case <-stop:
@@ -57,7 +61,8 @@
 		default:
 		}
 		var lines strings.Builder
-		for ; open < floodWindow; open++ {
+		allowed := first + uint64(time.Since(began).Seconds()*floodRate) + 1
+		for ; open < floodWindow && (seq < allowed || open == 0); open++ {
 			seq++
 			lines.WriteString("PUBLISH " + retainedPrefix + "flood " + strconv.FormatUint(seq, 10) + " 20\r\n" + body + "\r\n")
 		}
