Test that fails: a store whose link ends as soon as it stands is asked again and again

Cause: an edge that loses the link to its update source looks for another at once, and takes the same; dials that fail are held back, links that end at once are not.

--- a/internal/watch/subscription_test.go
+++ b/internal/watch/subscription_test.go
@@ -10,10 +10,9 @@
 	"oxbowdeck/internal/transport"
 )
 
-// TestHome: an edge hears the update from one store of its zone, however many it
-// follows; it leaves one that has not heard control, and one whose updates are older
-// than another's for a while; control is asked when none is left.
-func TestHome(t *testing.T) {
+// farAndTwoNear gives an edge's subscription beside three stores that listen, of which
+// the first is in another zone.
+func farAndTwoNear(t *testing.T) (*Subscription, *controlapi.Update) {
 	links := transport.Bounds{Queue: 1 << 20, Frame: 1 << 16, Dial: time.Second, Silence: time.Second, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
 	nothing := func(*transport.Link, transport.Kind, []byte) {}
 	update := &controlapi.Update{Seq: 10}
@@ -34,7 +33,14 @@
 	hub := transport.New(transport.Hello{Node: "edge"}, links, nothing, func(*transport.Link) {})
 	t.Cleanup(func() { hub.Close(0) })
 	update.Nodes = append(update.Nodes, controlapi.Node{Role: controlapi.Edge, Zone: "near", Addr: "edge", Incarnation: 1})
-	d := &Subscription{Hub: hub, Zone: "near", Quiet: 400, Control: &controlapi.Client{Update: update, Self: controlapi.Node{Addr: "edge", Incarnation: 1}}}
+	return &Subscription{Hub: hub, Zone: "near", Quiet: 400, Control: &controlapi.Client{Update: update, Self: controlapi.Node{Addr: "edge", Incarnation: 1}}}, update
+}
+
+// TestHome: an edge hears the update from one store of its zone, however many it
+// follows; it leaves one that has not heard control, and one whose updates are older
+// than another's for a while; control is asked when none is left.
+func TestHome(t *testing.T) {
+	d, update := farAndTwoNear(t)
 	at := func() ids.Node { return d.source.Peer().Node }
 
 	d.Watch(10000)
@@ -73,3 +79,24 @@
 		t.Fatal("stayed with a home that is behind for over a second")
 	}
 }
+
+// TestSourceWhoseLinkEndsAtOnce: a store whose link ends as soon as it stands is not asked
+// again and again to be the update source, nor is it given up for good.
+func TestSourceWhoseLinkEndsAtOnce(t *testing.T) {
+	const stores, begin, step = 3, ids.Millis(10000), ids.Millis(10)
+	d, _ := farAndTwoNear(t)
+	asked := 0
+	for now := begin; now < begin+avoidUnreached; now += step {
+		d.Watch(now)
+		if d.source != nil {
+			asked++
+			d.Down(now, d.source)
+		}
+	}
+	if asked > stores {
+		t.Fatalf("%d stores were asked %d times within %d ms", stores, asked, avoidUnreached)
+	}
+	if d.Watch(begin + 2*avoidUnreached); d.source == nil {
+		t.Fatal("no store is asked, though each was left alone for a while")
+	}
+}
