An edge leaves a store alone for a while whose link ended soon after it was asked

Cause: the search for an update source began at once, with the same store, when the link to it ended; only dials that fail were held back. Change: a source whose link ends within half a second is not asked for half a second; one whose link lasted may be asked again at once.

--- a/internal/watch/subscription.go
+++ b/internal/watch/subscription.go
@@ -37,7 +37,7 @@
 
 // How long a store is not asked again to be the update source.
 const (
-	avoidUnreached = ids.Millis(500)  // the link to it broke
+	avoidUnreached = ids.Millis(500)  // it was not reached, or the link to it ended soon
 	avoidLeft      = ids.Millis(3000) // it was left
 )
 
@@ -101,12 +101,18 @@
 	return false
 }
 
-// Down takes it that a link broke.
+// Down takes it that a link broke. A source whose link lasted may be asked again at once;
+// one whose link ended soon is left alone for a while, as links that are made and end at
+// once are not held back as dials that fail are.
 func (t *Subscription) Down(now ids.Millis, l *transport.Link) {
-	if l == t.source {
-		t.source, t.controlHeardAt = nil, 0
-		t.Watch(now)
+	if l != t.source {
+		return
+	}
+	if now-t.subscribedAt < avoidUnreached {
+		t.avoid(l.Peer().Node, now+avoidUnreached)
 	}
+	t.source, t.controlHeardAt = nil, 0
+	t.Watch(now)
 }
 
 // Heartbeat takes a store's heartbeat.
