TestKeysLapse lets both clients join before the configuration may age

Change: the configuration counts as current until both have joined, and ages from there; what is asked of the edge is the same.

--- a/internal/edge/keys_test.go
+++ b/internal/edge/keys_test.go
@@ -214,11 +214,12 @@
 // anything more; clients without a key stay.
 func TestKeysLapse(t *testing.T) {
 	for _, how := range []string{"a request", "a delivery", "time"} {
-		d := keyedEdge(t, short)
-		d.bounds.keys.Lapse = 4 * short
+		d := keyedEdge(t, long) // current until both have joined, however busy the machine is
 		keyed, keyless := join(t, d, "ann", "k1"), join(t, d, "bob", "")
 		subscribeNow(t, d, keyed, "a.x")
 		subscribeNow(t, d, keyless, "o.x")
+		d.core.Updates.Quiet, d.bounds.keys.Lapse = short, 4*short
+		keyedUpdate(d, "3", `"k1","k2"`)
 		time.Sleep((4*short + 10).Duration())
 		switch how {
 		case "a request":
