Proposals to a store come in one way, also those of a queue without tenants

Cause: a queue's host took plain proposals before the store saw them, with a twin of store.propose; the records of what a store turned away were added to one of the two, so a queue without limits kept none. Change: dispatch.Host.propose and its frame are gone; store.propose serves both by Host.Handler and Host.Answer, as it did for proposals with tenants. Answers are as before; refusals are recorded.

--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -9,11 +9,10 @@
 	"oxbowdeck/internal/transport"
 )
 
-// Frame takes a frame of an edge or of another host; it tells whether it was one.
+// Frame takes a frame of an edge or of another host; it tells whether it was one. Proposals
+// are the store's, which keeps records of them, and come by Handler and Answer.
 func (h *Host) Frame(link *transport.Link, kind transport.Kind, body []byte) bool {
 	switch kind {
-	case shardapi.KindPropose:
-		shardapi.Handle(body, func(x shardapi.Propose) { h.propose(link, x) })
 	case shardapi.KindWho:
 		shardapi.Handle(body, func(x shardapi.Who) { h.tellLeader(link, x.Group) })
 	case shardapi.KindState:
@@ -39,13 +38,8 @@
 	}
 }
 
-// propose takes messages that edges hand in, and the ends of attempts from hosts
-// that led before.
-func (h *Host) propose(link *transport.Link, proposal shardapi.Propose) {
-	h.Answer(link, proposal.Group, proposals.Submit(proposal, h.Handler(link, proposal.Group)))
-}
-
-// Handler is how requests of a group that came over a link are treated.
+// Handler is how requests of a group that came over a link are treated: messages that edges
+// hand in, and the ends of attempts from hosts that led before.
 func (h *Host) Handler(link *transport.Link, id ids.Group) proposals.Handler {
 	group := h.Group(id)
 	shard := h.shards[id]
