One piece for what stood twice: publish names, random pauses, the programs' folder

Cause: CLIENT/NUMBER was put together in three places that must agree with 'explain'; three loops of the soak paused alike; two commands looked the programs up alike. Change: requestlog.PublishID, soak.atRandom, programsFolder. Topic clients share the one stop channel, without one each and a goroutine to close them; two parameters that nothing read and a wrapper of one line are gone. Draws and behaviour are as before.

--- a/cmd/oxbowctl/local.go
+++ b/cmd/oxbowctl/local.go
@@ -34,15 +34,15 @@
 			if err := checkDeployment(plan); err != nil {
 				return err
 			}
-			executable, err := os.Executable()
+			programs, err := programsFolder()
 			if err != nil {
-				return errs.Wrap("find the programs", "", err)
+				return err
 			}
 			ctx, stop := process.TerminationContext(cmd.Context())
 			defer stop()
 			return localcluster.Run(ctx, localcluster.Options{
 				Plan:         plan,
-				Programs:     filepath.Dir(executable),
+				Programs:     programs,
 				Configure:    !unconfigured,
 				ReadyTimeout: readyTimeout,
 				Output:       cmd.OutOrStdout(),
@@ -54,3 +54,9 @@
 	c.Flags().DurationVar(&readyTimeout, "ready-timeout", defaultReadyTimeout, "end it if it does not serve by then")
 	return c
 }
+
+// programsFolder is the folder of this program, from which the others are run.
+func programsFolder() (string, error) {
+	executable, err := os.Executable()
+	return filepath.Dir(executable), errs.Wrap("find the programs", "", err)
+}
--- a/cmd/oxbowctl/soak_command.go
+++ b/cmd/oxbowctl/soak_command.go
@@ -70,13 +70,13 @@
 	if err := options.check(); err != nil {
 		return err
 	}
-	executable, err := os.Executable()
+	programs, err := programsFolder()
 	if err != nil {
-		return errs.Wrap("find the programs", "", err)
+		return err
 	}
 	ctx, stop := process.TerminationContext(cmd.Context())
 	defer stop()
-	config := soak.Config{Programs: filepath.Dir(executable), Net: options.net, Port: options.port, Output: io.Discard}
+	config := soak.Config{Programs: programs, Net: options.net, Port: options.port, Output: io.Discard}
 	if options.planFile != "" {
 		plan, err := soak.Load(options.planFile)
 		if err != nil {
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"strconv"
-
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/requestlog"
 )
@@ -38,7 +36,7 @@
 		requestlog.Count(r)
 		return
 	}
-	r.ID = x.request.ID.Origin + "/" + strconv.FormatUint(x.request.ID.Seq, 10)
+	r.ID = requestlog.PublishID(x.request.ID.Origin, x.request.ID.Seq)
 	if x.conn == nil {
 		r.Reason = "the client's connection had ended; " + reason
 	}
@@ -49,7 +47,7 @@
 func (d *Daemon) recordUntaken(c *conn, w request, outcome, reason string) {
 	requestlog.Add(requestlog.Record{
 		Stage:   requestlog.StageUntaken,
-		ID:      string(c.client) + "/" + strconv.FormatUint(uint64(w.seq), 10),
+		ID:      requestlog.PublishID(string(c.client), uint64(w.seq)),
 		Node:    d.core.Self.Addr,
 		Topic:   w.topic,
 		Group:   d.groupOf(w.topic),
--- a/internal/requestlog/record.go
+++ b/internal/requestlog/record.go
@@ -9,6 +9,8 @@
 package requestlog
 
 import (
+	"strconv"
+
 	"oxbowdeck/internal/ids"
 )
 
@@ -72,11 +74,16 @@
 // Get gives how long a step took; false if it was not taken.
 func (s *Steps) Get(step Step) (ids.Millis, bool) { return ids.Millis(s[step] - 1), s[step] > 0 }
 
+// PublishID is what records name a publish by: CLIENT/NUMBER.
+func PublishID(client string, number uint64) string {
+	return client + "/" + strconv.FormatUint(number, 10)
+}
+
 // Record is what one process knows of one request.
 type Record struct {
 	At       int64 // unix milliseconds of the end, by the process's time of day
 	Stage    Stage
-	ID       string // what the client named it by: CLIENT/NUMBER, or the message's name
+	ID       string // what the client named it by: PublishID, or the message's name
 	Node     ids.Node
 	Topic    ids.Topic // of a publish
 	Group    ids.Group
--- a/internal/soak/abuse.go
+++ b/internal/soak/abuse.go
@@ -36,16 +36,7 @@
 	}
 	for i := range abuserCount {
 		random := rand.New(rand.NewPCG(seed, 0xab05e+uint64(i)))
-		all.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(time.Duration(random.Int64N(int64(2 * abusePause)))):
-					a.once(random)
-				}
-			}
-		})
+		all.Go(func() { atRandom(stop, random, abusePause, func() { a.once(random) }) })
 	}
 	all.Wait()
 }
--- a/internal/soak/operators.go
+++ b/internal/soak/operators.go
@@ -82,28 +82,17 @@
 	var all sync.WaitGroup
 	for i := range operatorCount {
 		random := rand.New(rand.NewPCG(seed, 0x0be0+uint64(i)))
-		all.Go(func() { o.each(stop, random, orderPause, func() { o.give(random, fmt.Sprintf("op%d", i)) }) })
+		all.Go(func() { atRandom(stop, random, orderPause, func() { o.give(random, fmt.Sprintf("op%d", i)) }) })
 	}
 	for i := range 2 {
 		random := rand.New(rand.NewPCG(seed, 0x4ead+uint64(i)))
-		all.Go(func() { o.each(stop, random, readPause, func() { o.read(random) }) })
+		all.Go(func() { atRandom(stop, random, readPause, func() { o.read(random) }) })
 	}
 	random := rand.New(rand.NewPCG(seed, 0xbad))
-	all.Go(func() { o.each(stop, random, nonsensePause, func() { o.nonsense(random) }) })
+	all.Go(func() { atRandom(stop, random, nonsensePause, func() { o.nonsense(random) }) })
 	all.Wait()
 }
 
-func (o *operators) each(stop chan struct{}, random *rand.Rand, mean time.Duration, do func()) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Duration(random.Int64N(int64(2 * mean)))):
-			do()
-		}
-	}
-}
-
 func (o *operators) url(random *rand.Rand) string {
 	list := o.deployment.controlAddresses()
 	return "http://" + list[random.IntN(len(list))] + "/v1/configuration"
--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -119,7 +119,7 @@
 const earlyMost = 200 * time.Millisecond
 
 // begins judges a run that begins at a worker.
-func (h *QueueHistory) begins(id string, r *http.Request, body []byte, dedup bool) *queueRun {
+func (h *QueueHistory) begins(id string, r *http.Request, body []byte) *queueRun {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m := h.messages[id]
@@ -175,7 +175,7 @@
 	}
 }
 
-func (h *QueueHistory) failed(_ *queueRun, silent bool) {
+func (h *QueueHistory) failed(silent bool) {
 	if silent {
 		h.count("runs without an answer")
 		return
@@ -194,16 +194,7 @@
 }
 
 // run hands messages in until stop is closed.
-func (s *sender) run(stop chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Duration(s.random.Int64N(int64(2 * queuePause)))):
-			s.message()
-		}
-	}
-}
+func (s *sender) run(stop chan struct{}) { atRandom(stop, s.random, queuePause, s.message) }
 
 // message hands one message in: each try after a promise is another one.
 func (s *sender) message() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -121,7 +121,7 @@
 	}
 	time.Sleep(calmTime)
 	close(stop)
-	x.endTopics(&using)
+	using.Wait()
 	x.judge(base)
 	x.deployment.writeRecords()
 	x.stopInOrder()
@@ -203,17 +203,11 @@
 			key = tenantOfClient(i).key
 			x.topics.tenants[fmt.Sprintf("client%d", i)] = tenantOfClient(i).label
 		}
-		x.clients = append(x.clients, newTopicClient(i, seed, key, x.topics, fronts))
+		x.clients = append(x.clients, newTopicClient(i, seed, key, x.topics, fronts, stop))
 	}
 	for _, c := range x.clients {
 		using.Go(func() { c.run(x.pickedUp(stop)) })
 	}
-	go func() {
-		<-stop
-		for _, c := range x.clients {
-			close(c.stop)
-		}
-	}()
 }
 
 // pickedUp tells a client when it may end: once all that is owed came, or after pickupTime.
@@ -239,9 +233,6 @@
 	}
 }
 
-// endTopics waits for all who use the deployment.
-func (x *run) endTopics(using *sync.WaitGroup) { using.Wait() }
-
 // judge judges what can be told at the end alone.
 func (x *run) judge(base map[string]usage) {
 	x.operators.checkEnd()
--- a/internal/soak/topics.go
+++ b/internal/soak/topics.go
@@ -48,7 +48,7 @@
 	history *TopicHistory
 	fronts  func() []string
 	random  *rand.Rand
-	stop    chan struct{}
+	stop    chan struct{} // closed: nothing more is to be published
 
 	subscriptions map[string]*subscription // by topic
 	seq           uint64
@@ -56,7 +56,9 @@
 }
 
 // newTopicClient makes a client, which runs by run.
-func newTopicClient(number int, seed uint64, key string, history *TopicHistory, fronts func() []string) *topicClient {
+func newTopicClient(
+	number int, seed uint64, key string, history *TopicHistory, fronts func() []string, stop chan struct{},
+) *topicClient {
 	c := &topicClient{
 		name:          fmt.Sprintf("client%d", number),
 		key:           key,
@@ -64,7 +66,7 @@
 		history:       history,
 		fronts:        fronts,
 		random:        rand.New(rand.NewPCG(seed, uint64(number))),
-		stop:          make(chan struct{}),
+		stop:          stop,
 		subscriptions: map[string]*subscription{},
 	}
 	for _, topic := range c.topics {
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -202,7 +202,7 @@
 	if w.service == lockService && w.repeated(rw, attempt) {
 		return
 	}
-	run := w.fleet.history.begins(attempt, r, body, w.service == lockService)
+	run := w.fleet.history.begins(attempt, r, body)
 	mode := w.mode.Load().(Kind)
 	w.work(mode, r)
 	w.answer(rw, attempt, mode, run)
@@ -250,7 +250,7 @@
 	seal := fmt.Sprintf("%s.%d", w.id, w.seals.Add(1))
 	if fails || mode == WorkerHang {
 		w.settle(attempt, "")
-		w.fleet.history.failed(run, mode == WorkerHang)
+		w.fleet.history.failed(mode == WorkerHang)
 		if mode == WorkerHang {
 			w.drop(rw)
 			return
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"strconv"
 	"strings"
 
 	"oxbowdeck/internal/ids"
@@ -19,7 +18,7 @@
 	if strings.ContainsAny(id.Origin, "#/") { // subscriptions of an edge; reservations
 		return "", false
 	}
-	return id.Origin + "/" + strconv.FormatUint(id.Seq, 10), true
+	return requestlog.PublishID(id.Origin, id.Seq), true
 }
 
 // recordDecided keeps what is known of the requests of an instance that was decided under the
