A settings file that is being written is read once it stays as it is

Cause: looks and readings were not bound to a whole file: one written in place was taken over empty, or half, where the half passed; a process that started just then ended.

At a start a file that does not pass is read again for as long as it changes, 5 s at most. SIGHUP still reads at once: who sends it has written before. The same class elsewhere: records of requests are renamed into place; disk_fault is read in halves too, by tests alone, and a half of its one word names no fault; no other file that another process writes is read while it runs.

A file that does not pass at a start is refused 0.25 s later than before.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -68,7 +68,7 @@
 	}
 	ignoreHangups()
 	file := settingsFile{path: opts.path}
-	set, err := file.read()
+	set, err := file.readAtStart(time.Sleep)
 	if err != nil {
 		return err
 	}
