--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -77,10 +77,16 @@
 	messages map[string]*queueMessage   // by id
 	keys     map[string][]*queueMessage // accepted, by sequence
 	took     []time.Duration            // from the sending of a message to its 202
+	asked    map[int][]time.Duration    // to what is told of a message, by the answer's status
 }
 
 func newQueueHistory(h *History) *QueueHistory {
-	return &QueueHistory{History: h, messages: map[string]*queueMessage{}, keys: map[string][]*queueMessage{}}
+	return &QueueHistory{
+		History:  h,
+		messages: map[string]*queueMessage{},
+		keys:     map[string][]*queueMessage{},
+		asked:    map[int][]time.Duration{},
+	}
 }
 
 func (h *QueueHistory) sending(m *queueMessage) {
@@ -300,6 +306,7 @@
 		all.Wait()
 		open = still
 	}
+	h.tellAsked()
 	slices.SortFunc(open, func(a, b *queueMessage) int { return a.sent.Compare(b.sent) })
 	for i, m := range open {
 		if i < 10 {
@@ -320,6 +327,22 @@
 	return !m.doneAt.IsZero() && time.Since(m.doneAt) > reportTime
 }
 
+// noteAsked notes how long it took to be told of a message.
+func (h *QueueHistory) noteAsked(status int, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asked[status] = append(h.asked[status], took)
+}
+
+// tellAsked tells how long it took to be told of messages.
+func (h *QueueHistory) tellAsked() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for status, took := range h.asked {
+		h.noteTimes(fmt.Sprintf("%d questions after messages answered %d", len(took), status), took)
+	}
+}
+
 // state asks how a message stands, and judges the answer.
 func (h *QueueHistory) state(m *queueMessage, fronts []string, key string) string {
 	header := map[string]string{"Host": queueHost}
@@ -327,7 +350,9 @@
 		header["X-Api-Key"] = key
 	}
 	front := fronts[rand.IntN(len(fronts))]
+	began := time.Now()
 	answer := callFor(stateTimeout, http.MethodGet, "http://"+front+"/v1/message/"+m.name, header, nil)
+	h.noteAsked(answer.status, time.Since(began))
 	if answer.status == http.StatusNotFound && h.forgotten(m) {
 		return "completed"
 	}
