--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	randv2 "math/rand/v2"
-	"net"
 	"os"
 	"sort"
 	"strconv"
@@ -682,36 +681,3 @@
 		t.Fatalf("%s after %d attempts: %v", r.Outcome, r.Attempts, s.faults)
 	}
 }
-
-// TestUnknown: that a message is not known is said by a leader alone, and only while
-// it hears a majority; another may have been taken in elsewhere.
-func TestUnknown(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln.Close()
-	b := transport.Bounds{Queue: 1 << 20, Frame: 1 << 20, Dial: time.Second, Silence: time.Second}
-	got := make(chan uint64, 9)
-	receive := func(_ *transport.Link, _ transport.Kind, raw []byte) {
-		x, _ := transport.Get[shardapi.Stated](raw)
-		got <- x.Req
-	}
-	edge := transport.New(transport.Hello{Node: "edge", Incarnation: 1}, b, receive, func(*transport.Link) {})
-	if err := edge.Listen(ln.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	store := transport.New(transport.Hello{Node: "store", Incarnation: 1}, b, nil, func(*transport.Link) {})
-	defer edge.Close(0)
-	defer store.Close(0)
-	s := found(t, 1, "")
-	n := s.nodes[s.leader]
-	for req, c := range []struct{ leads, cut bool }{{false, false}, {true, true}, {true, false}} {
-		n.leads, n.cut = c.leads, c.cut
-		x, _ := cbor.Marshal(shardapi.State{Req: uint64(req), ID: "m0"})
-		n.host.Frame(store.To(ids.Node(ln.Addr().String())), shardapi.KindState, x)
-	}
-	if req := <-got; req != 2 {
-		t.Fatalf("not known, as one says that leads: %v, cut off: %v", req > 0, req == 1)
-	}
-}
--- /dev/null
+++ b/internal/httpedge/inquiries_test.go
@@ -0,0 +1,62 @@
+package httpedge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowdeck/internal/controlapi"
+	"oxbowdeck/internal/edgecore"
+	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/shardapi"
+	"oxbowdeck/internal/transport"
+)
+
+// Stores of the tests below: the edge believes in the first, and the second leads.
+const (
+	earlierLeader = ids.Node("127.0.0.1:1")
+	newLeader     = ids.Node("127.0.0.1:2")
+)
+
+// edgeOfOneGroup is an edge that believes that one group is led by earlierLeader.
+func edgeOfOneGroup(t *testing.T) *Daemon {
+	links := transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
+	hub := transport.New(transport.Hello{Node: "edge"}, links, nil, func(*transport.Link) {})
+	t.Cleanup(func() { hub.Close(0) })
+	return &Daemon{
+		core: &edgecore.Core{
+			Hub:     hub,
+			Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 1)}},
+		},
+		bounds:    bounds{maxCalls: 9, replicaQuiet: 400, resend: 250},
+		inquiries: map[uint64]*inquiry{},
+		leaders:   map[ids.Group]*leader{0: {node: earlierLeader}},
+	}
+}
+
+// leads is a store's word on who leads the group.
+func (d *Daemon) leads(now ids.Millis, from, leader ids.Node) {
+	body, _ := cbor.Marshal(shardapi.Lead{Group: 0, Node: leader})
+	d.handleStoreFrame(now, from, shardapi.KindLead, body)
+}
+
+// TestInquiryFollowsTheLeader: a question that went to an earlier leader goes to the one that
+// it names at once, and not over and over if two name each other.
+func TestInquiryFollowsTheLeader(t *testing.T) {
+	d := edgeOfOneGroup(t)
+	now := ids.Millis(10_000)
+	d.beginInquiry(now, "", "0.m1", false, make(chan inquiryResult, 1))
+	asked := func() ids.Millis { return d.inquiries[1].sentAt }
+	d.leads(now+1, earlierLeader, newLeader)
+	if asked() != now+1 {
+		t.Fatalf("asked again after %d ms", asked()-now)
+	}
+	for i := range ids.Millis(100) {
+		d.leads(now+2+2*i, newLeader, earlierLeader)
+		d.leads(now+3+2*i, earlierLeader, newLeader)
+	}
+	if asked() > now+10 {
+		t.Fatalf("still sent from one to the other after %d ms", asked()-now)
+	}
+}
