Whoever is asked after an unknown message names the leader, and the question follows

Cause: an edge learns of a new leader from what it hands in alone. One that has handed in nothing since asked the earlier leader, which was silent, and every replica 0.5 s later.

Change: a store that can't be sure that there is no such message says who leads. The edge puts its questions to that one at once, three times at most for each, since stores may name each other; every replica is asked after 0.25 s instead of 0.4. Word of another store counts only once the leader that is believed in has been silent for replica_quiet_ms.

The same class elsewhere: edges of topics are told by the replicas they follow; an edge's messages are denied by a store that does not lead, which named the leader before.

--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// tellState answers how a message stands here.
+// tellState answers how a message stands here. Who can't be sure that there is none says who
+// leads the group, which may have changed since the edge that asks heard of it.
 func (h *Host) tellState(link *transport.Link, request shardapi.State) {
 	shard := h.shards[request.Group]
 	group := h.Group(request.Group)
@@ -91,7 +92,8 @@
 	answer := shardapi.Stated{Req: request.Req, Group: request.Group, Leads: leads}
 	row := shard.find(request.ID)
 	if row == nil && (!leads || !group.Fresh(h.Now())) {
-		return // a replica may lag, and a leader that is cut off as well: it says nothing
+		h.tellLeader(link, request.Group) // a replica may lag, and a leader that is cut off as well
+		return
 	}
 	if row != nil {
 		answer.Known = true
--- a/internal/httpedge/edge.go
+++ b/internal/httpedge/edge.go
@@ -133,7 +133,7 @@
 	switch k {
 	case shardapi.KindLead:
 		if x, ok := transport.Get[shardapi.Lead](b); ok {
-			d.leaderChanged(now, x)
+			d.leaderChanged(now, from, x)
 		}
 	case shardapi.KindKnown:
 		if x, ok := transport.Get[shardapi.Flow](b); ok {
--- a/internal/httpedge/inquiries.go
+++ b/internal/httpedge/inquiries.go
@@ -14,6 +14,8 @@
 	sentAt   ids.Millis // when it was last put; 0: not yet
 	deadline ids.Millis
 	answer   chan inquiryResult
+
+	redirects int // how often it was put to a leader that became known meanwhile
 }
 
 // inquiryResult is how a message stands.
@@ -26,7 +28,11 @@
 const (
 	inquiryTimeout = ids.Millis(1800) // within what askers wait
 	inquiryRepeat  = ids.Millis(250)
-	inquiryWiden   = ids.Millis(400) // leaders do not answer: any replica may
+	inquiryWiden   = inquiryRepeat // leaders do not answer: any replica may
+
+	// maxRedirects bounds how often one inquiry follows a change of leader at once: stores may
+	// name each other.
+	maxRedirects = 3
 )
 
 // inquire asks the leader of a message's group how it stands; when that does not
@@ -74,21 +80,42 @@
 	if a.sentAt > 0 && now-a.sentAt < inquiryRepeat {
 		return
 	}
-	allReplicas := now-a.since >= inquiryWiden
 	for g := range a.groups {
-		s := a.question
-		s.Group = g
-		if x := d.leaders[g]; x != nil && x.node != "" && !allReplicas {
-			d.core.Hub.To(x.node).Send(shardapi.KindState, s)
-		} else if int(g) < d.core.Shards() {
-			for _, m := range d.core.Control.Update.Shards[g].Voters {
-				d.core.Hub.To(m.Node).Send(shardapi.KindState, s)
-			}
-		}
+		d.ask(now, a, g)
 	}
 	a.sentAt = now
 }
 
+// ask puts a question to a group: to its leader, or to every replica if that is not known or
+// does not answer.
+func (d *Daemon) ask(now ids.Millis, a *inquiry, g ids.Group) {
+	question := a.question
+	question.Group = g
+	allReplicas := now-a.since >= inquiryWiden
+	if x := d.leaders[g]; x != nil && x.node != "" && !allReplicas {
+		d.core.Hub.To(x.node).Send(shardapi.KindState, question)
+		return
+	}
+	if int(g) >= d.core.Shards() {
+		return
+	}
+	for _, voter := range d.core.Control.Update.Shards[g].Voters {
+		d.core.Hub.To(voter.Node).Send(shardapi.KindState, question)
+	}
+}
+
+// redirectInquiries puts what a group was asked to the leader that has become known.
+func (d *Daemon) redirectInquiries(now ids.Millis, g ids.Group) {
+	for _, a := range d.inquiries {
+		if !a.groups[g] || a.redirects >= maxRedirects {
+			continue
+		}
+		a.redirects++
+		a.sentAt = now
+		d.ask(now, a, g)
+	}
+}
+
 // answerInquiry takes a replica's answer.
 func (d *Daemon) answerInquiry(x shardapi.Stated) {
 	a := d.inquiries[x.Req]
--- a/internal/httpedge/inquiries_test.go
+++ b/internal/httpedge/inquiries_test.go
@@ -60,3 +60,23 @@
 		t.Fatalf("still sent from one to the other after %d ms", asked()-now)
 	}
 }
+
+// TestLeaderThatAnswersIsBelieved: another store's word on who leads counts once the leader that
+// is believed in has not answered for a while; its own counts at once.
+func TestLeaderThatAnswersIsBelieved(t *testing.T) {
+	d := edgeOfOneGroup(t)
+	now := ids.Millis(10_000)
+	d.leaders[0].heardAt = now
+	d.leads(now+1, "127.0.0.1:3", newLeader)
+	if d.leaders[0].node != earlierLeader {
+		t.Fatal("left for the word of another store, a moment after it answered")
+	}
+	d.leads(now+500, "127.0.0.1:3", newLeader)
+	if d.leaders[0].node != newLeader {
+		t.Fatal("still believed in after it has not answered for half a second")
+	}
+	d.leads(now+501, newLeader, earlierLeader)
+	if d.leaders[0].node != earlierLeader {
+		t.Fatal("its own word does not count")
+	}
+}
--- a/internal/httpedge/leaders.go
+++ b/internal/httpedge/leaders.go
@@ -85,12 +85,18 @@
 	d.findLeaders(now)
 }
 
-// leaderChanged takes a store's word on who leads a group.
-func (d *Daemon) leaderChanged(now ids.Millis, x shardapi.Lead) {
+// leaderChanged takes a store's word on who leads a group. The word of one that is not believed
+// to lead may be old: it counts once the one that is believed to has not answered for a while.
+func (d *Daemon) leaderChanged(now ids.Millis, from ids.Node, x shardapi.Lead) {
 	l := d.leaders[x.Group]
 	if l == nil || x.Node == "" || l.node == x.Node {
 		return
 	}
-	l.node, l.heardAt = x.Node, now
+	if l.node != "" && l.node != from && now-l.heardAt < d.bounds.replicaQuiet {
+		return
+	}
+	l.node = x.Node
+	l.heardAt = now
 	d.forwardAgain(x.Group)
+	d.redirectInquiries(now, x.Group)
 }
