Test that fails: bounds are taken that a single message passes

Cause: client_out_kb may be 1 and lane_frame_kb 64. A client whose missed message is larger than 75% of client_out_kb is handed nothing, and its replica is asked again each time that its buffer is empty; a batch of one message may be larger than a frame of 64 kB, and each link that it is sent on ends.

Found by reading how a client catches up (edge/backlog.go).

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -62,6 +63,22 @@
 	}
 }
 
+// TestBoundsHoldOneMessage: a bound that a single message or batch passes is refused: it would
+// never be delivered, and asked for without an end.
+func TestBoundsHoldOneMessage(t *testing.T) {
+	for setting, least := range map[string]int{
+		"client_out_kb": 32,       // a publish of 16 KiB, beside what else waits for a client
+		"lane_frame_kb": 16 << 10, // a batch of one message, or a reply of many
+	} {
+		for value, taken := range map[int]bool{least: true, least - 1: false} {
+			_, err := Parse([]byte(fmt.Sprintf("%stuning.%s=%d\n", good, setting, value)))
+			if taken != (err == nil) {
+				t.Errorf("%s=%d: %v", setting, value, err)
+			}
+		}
+	}
+}
+
 // TestErrorsNameTheSetting: as the file has it, not as the schema does.
 func TestErrorsNameTheSetting(t *testing.T) {
 	for line, want := range map[string]string{
