Bounds of a client's buffer and of a frame hold what is sent in one piece

Cause: the settings' bounds were drawn without regard to the largest single piece.

Change: client_out_kb is 32 at the least (a publish has 16 KiB at most, and three quarters of the buffer are for what a client missed), lane_frame_kb 16384.

--- a/internal/settings/settings.cue
+++ b/internal/settings/settings.cue
@@ -95,7 +95,7 @@
 	edge_conns?:        int & >=1 & <=1000000
 	edge_calls?:        int & >=1 & <=1000000
 	client_calls?:      int & >=1 & <=100000
-	client_out_kb?:     int & >=1 & <=1048576
+	client_out_kb?:     int & >=32 & <=1048576
 	forward_again_ms?:  int & >=10 & <=60000
 	give_up_margin_ms?: int & >=1 & <=60000
 	join_wait_ms?:      int & >=10 & <=60000
@@ -105,7 +105,7 @@
 	news_quiet_ms?:     int & >=100 & <=60000
 	hope_ms?:           int & >=50 & <=60000
 	lane_queue_kb?:     int & >=64 & <=1048576
-	lane_frame_kb?:     int & >=64 & <=1048576
+	lane_frame_kb?:     int & >=16384 & <=1048576
 	lane_dial_ms?:      int & >=10 & <=60000
 	lane_silence_ms?:   int & >=100 & <=60000
 	lane_retry_ms?:     int & >=1 & <=60000
