One package gives the tests of both edges their core, source and configuration

Cause: the same 25 lines stood in the tests of edge and httpedge: an update source that confirms a configuration once, and edges that are cut off or stood still.

Change: package edgetest has them once. Bounds and assertions are as they were.

--- a/internal/edge/current_test.go
+++ b/internal/edge/current_test.go
@@ -1,24 +1,14 @@
 package edge
 
 import (
-	"net"
 	"strings"
 	"testing"
-	"time"
 
-	"oxbowdeck/internal/controlapi"
-	"oxbowdeck/internal/edgecore"
+	"oxbowdeck/internal/edgetest"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
-	"oxbowdeck/internal/watch"
-)
-
-// What a configuration counts as current for is twice the quiet time of its source.
-const (
-	long  = ids.Millis(60_000) // longer than any test runs
-	short = ids.Millis(5)
 )
 
 const oneSpace = `{"config_release":1,"limits":{"subscriptions":1},"routing_entries":[` +
@@ -27,14 +17,8 @@
 // begun is an edge that has just begun.
 func begun(t *testing.T) *Daemon {
 	t.Helper()
-	time.Sleep(2 * time.Millisecond) // a probe at 0 is none
 	d := newDaemon(bounds{maxCalls: 100, callsPerClient: 100, clientOut: 1000})
-	links := transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
-	d.core = &edgecore.Core{
-		Control: &controlapi.Client{},
-		Hub:     transport.New(transport.Hello{Node: "e"}, links, nil, func(*transport.Link) {}),
-	}
-	t.Cleanup(func() { d.core.Hub.Close(0) })
+	d.core = edgetest.NewCore(t)
 	return d
 }
 
@@ -42,43 +26,24 @@
 // that source.
 func configured(t *testing.T, quiet ids.Millis) (d *Daemon, source *transport.Link) {
 	t.Helper()
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { silent.Close() })
 	d = begun(t)
-	store := ids.Node(silent.Addr().String())
-	d.core.Control.Update = &controlapi.Update{
-		Seq: 1, Release: 1, Config: controlapi.Pack([]byte(oneSpace)), Shards: make([]controlapi.Shard, 1),
-		Nodes: []controlapi.Node{{Role: controlapi.Store, Zone: "z", Addr: store}},
-	}
-	d.core.Updates = watch.Subscription{Hub: d.core.Hub, Control: d.core.Control, Zone: "z", Quiet: quiet}
-	d.core.Updates.Configure(d.core.Control.Update)
-	source = d.core.Hub.To(store)
+	source = edgetest.Configure(t, d.core, oneSpace, quiet)
 	d.feeds = []*shardFeed{{link: source}}
-	now := ids.MonotonicNow()
-	d.core.Updates.Watch(now) // probes
-	d.core.Updates.Pong(source, shardapi.Ping{At: now})
-	d.core.Updates.Heartbeat(now, source, shardapi.Heartbeat{Told: true, Seq: 1})
 	return d, source
 }
 
 // cutOff is an edge that nobody has confirmed the configuration to for too long.
 func cutOff(t *testing.T) *Daemon {
-	d, _ := configured(t, short)
-	time.Sleep((2*short + 5).Duration())
+	d, _ := configured(t, edgetest.ShortQuiet)
+	edgetest.OutlastShortQuiet()
 	return d
 }
 
 // stoodStill is an edge that stood still for too long, and then read what had waited in
 // its buffers.
 func stoodStill(t *testing.T) *Daemon {
-	d, source := configured(t, short)
-	time.Sleep((2*short + 5).Duration())
-	for range 5 {
-		d.core.Updates.Heartbeat(ids.MonotonicNow(), source, shardapi.Heartbeat{Told: true, Seq: 1})
-	}
+	d, source := configured(t, edgetest.ShortQuiet)
+	edgetest.StandStill(d.core, source)
 	return d
 }
 
@@ -130,7 +95,7 @@
 // earlier try may run.
 func TestRejectedByTheNewestConfigurationAlone(t *testing.T) {
 	states := map[string]func(*testing.T) *Daemon{
-		"is current":     func(t *testing.T) *Daemon { d, _ := configured(t, long); return d },
+		"is current":     func(t *testing.T) *Daemon { d, _ := configured(t, edgetest.LongQuiet); return d },
 		"has just begun": begun,
 		"was cut off":    cutOff,
 		"stood still":    stoodStill,
--- a/internal/edge/keys_test.go
+++ b/internal/edge/keys_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oxbowdeck/internal/controlapi"
+	"oxbowdeck/internal/edgetest"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/shardapi"
@@ -21,12 +22,7 @@
 
 // keyedUpdate is the update that brings a version of keyedConfig.
 func keyedUpdate(d *Daemon, release, keys string) {
-	body := strings.NewReplacer("RELEASE", release, "KEYS", keys).Replace(keyedConfig)
-	update := *d.core.Control.Update
-	update.Release++
-	update.Config = controlapi.Pack([]byte(body))
-	d.core.Control.Update = &update
-	d.core.Updates.Configure(&update)
+	edgetest.Replace(d.core, keyedConfig, release, keys)
 }
 
 // keyedEdge is an edge with keys in force, whose configuration is current for so long.
@@ -92,13 +88,13 @@
 		{name: "another name", first: request{arg: "ann", key: "k1"}, again: request{arg: "bob", key: "k1"},
 			want: "REJECT ATTACH - - MALFORMED"},
 	} {
-		quiet := long
+		quiet := edgetest.LongQuiet
 		if c.stale {
-			quiet = short
+			quiet = edgetest.ShortQuiet
 		}
 		d := keyedEdge(t, quiet)
 		if c.stale {
-			time.Sleep((2*short + 5).Duration())
+			edgetest.OutlastShortQuiet()
 		}
 		x := &conn{daemon: d, id: 1}
 		d.conns[1] = x
@@ -113,7 +109,7 @@
 			t.Errorf("%s: %q, want %q", c.name, got, c.want)
 		}
 	}
-	d, _ := configured(t, long) // keys are not in force
+	d, _ := configured(t, edgetest.LongQuiet) // keys are not in force
 	x := &conn{daemon: d, id: 1}
 	d.conns[1] = x
 	d.handle(x, request{verb: verbAttach, arg: "ann", key: "k1"})
@@ -125,7 +121,7 @@
 // TestSpacesAskForKeys: a client without a key uses open spaces alone, one with a key
 // that is there uses all.
 func TestSpacesAskForKeys(t *testing.T) {
-	d := keyedEdge(t, long)
+	d := keyedEdge(t, edgetest.LongQuiet)
 	keyed, keyless := join(t, d, "ann", "k1"), join(t, d, "bob", "")
 	for _, w := range []request{
 		{verb: verbSubscribe, topic: "a.x"},
@@ -149,7 +145,7 @@
 // those that wait for an answer, and in open spaces; nothing is delivered to them or taken
 // from them, and other keys go on.
 func TestWithdrawnKey(t *testing.T) {
-	d := keyedEdge(t, long)
+	d := keyedEdge(t, edgetest.LongQuiet)
 	gone, other, open := join(t, d, "ann", "k1"), join(t, d, "bob", "k2"), join(t, d, "cat", "")
 	subscribeNow(t, d, gone, "a.x")
 	subscribeNow(t, d, other, "a.x")
@@ -189,7 +185,7 @@
 // is not where clients don't know such an answer.
 func TestRemovedSpaceIsTold(t *testing.T) {
 	for _, inForce := range []bool{true, false} {
-		d := keyedEdge(t, long)
+		d := keyedEdge(t, edgetest.LongQuiet)
 		c := join(t, d, "ann", "k1")
 		subscribeNow(t, d, c, "a.x")
 		d.bounds.keys.InForce = inForce
@@ -214,13 +210,13 @@
 // anything more; clients without a key stay.
 func TestKeysLapse(t *testing.T) {
 	for _, how := range []string{"a request", "a delivery", "time"} {
-		d := keyedEdge(t, long) // current until both have joined, however busy the machine is
+		d := keyedEdge(t, edgetest.LongQuiet) // current until both have joined, however busy the machine is
 		keyed, keyless := join(t, d, "ann", "k1"), join(t, d, "bob", "")
 		subscribeNow(t, d, keyed, "a.x")
 		subscribeNow(t, d, keyless, "o.x")
-		d.core.Updates.Quiet, d.bounds.keys.Lapse = short, 4*short
+		d.core.Updates.Quiet, d.bounds.keys.Lapse = edgetest.ShortQuiet, 4*edgetest.ShortQuiet
 		keyedUpdate(d, "3", `"k1","k2"`)
-		time.Sleep((4*short + 10).Duration())
+		time.Sleep((4*edgetest.ShortQuiet + 10).Duration())
 		switch how {
 		case "a request":
 			d.handle(keyed, request{verb: verbPublish, topic: "a.x", seq: 7, body: []byte("body")})
@@ -252,12 +248,12 @@
 // TestOverQuota: a call that its tenant's limit turned away ends at once, with RETRY if
 // no other copy of it can run, else UNKNOWN. Calls bear the tenant that they count for.
 func TestOverQuota(t *testing.T) {
-	d := keyedEdge(t, long)
+	d := keyedEdge(t, edgetest.LongQuiet)
 	d.bounds.keys.Quotas = true
 	d.bounds.resendWindow = 1
-	d.bounds.giveUpMargin = long
+	d.bounds.giveUpMargin = edgetest.LongQuiet
 	keyed, keyless := join(t, d, "ann", "k1"), join(t, d, "bob", "")
-	keyed.since, keyless.since = -long, -long
+	keyed.since, keyless.since = -edgetest.LongQuiet, -edgetest.LongQuiet
 	for seq, want := range map[ids.Seq]string{1: "RETRY", 2: "UNKNOWN", 3: "UNKNOWN"} {
 		d.handle(keyed, request{verb: verbPublish, topic: "a.x", seq: seq, body: []byte("body")})
 		id := publishID(keyed, seq)
@@ -270,13 +266,13 @@
 		case 2:
 			call.retransmitted = true
 		case 3:
-			keyed.since = ids.MonotonicNow() + long // an earlier connection may have sent it
+			keyed.since = ids.MonotonicNow() + edgetest.LongQuiet // an earlier connection may have sent it
 		}
 		d.overQuota(shardapi.QuotaDenied{IDs: []paxos.ID{id}})
 		if got := answer(keyed); !strings.HasSuffix(got, " "+want) || d.calls[id] != nil || len(keyed.calls) != 0 {
 			t.Errorf("number %d: %q, want %s", seq, got, want)
 		}
-		keyed.since = -long
+		keyed.since = -edgetest.LongQuiet
 	}
 	d.handle(keyless, request{verb: verbPublish, topic: "o.x", seq: 1, body: []byte("body")})
 	if call := d.calls[publishID(keyless, 1)]; call == nil || call.tenant != "" {
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"oxbowdeck/internal/edgetest"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/metrics"
 	"oxbowdeck/internal/paxos"
@@ -24,7 +25,7 @@
 // TestMetricsOfClients: each answer is counted once under what it was, connections and
 // subscriptions go up and down, and no key that a client gave is in the text.
 func TestMetricsOfClients(t *testing.T) {
-	d := keyedEdge(t, long)
+	d := keyedEdge(t, edgetest.LongQuiet)
 	d.bounds.maxCalls, d.bounds.callsPerClient = 10, 10
 	registry := metrics.New(&settings.Settings{Extra: map[string]int{"metrics": 1}})
 	d.metrics = metrics.NewEdge(registry)
--- a/internal/httpedge/keys_test.go
+++ b/internal/httpedge/keys_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/edgecore"
+	"oxbowdeck/internal/edgetest"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/queue"
@@ -31,12 +31,7 @@
 
 // configureKeys brings an edge a version of keyedConfig.
 func configureKeys(d *Daemon, release, keys string) {
-	body := strings.NewReplacer("RELEASE", release, "KEYS", keys).Replace(keyedConfig)
-	update := *d.core.Control.Update
-	update.Release++
-	update.Config = controlapi.Pack([]byte(body))
-	d.core.Control.Update = &update
-	d.core.Updates.Configure(&update)
+	edgetest.Replace(d.core, keyedConfig, release, keys)
 }
 
 // keyedEdge is an edge with keys in force, whose configuration is current for so long.
@@ -141,13 +136,13 @@
 		{name: "open, with a longer key", path: "/open", keys: []string{tooLong}, want: 202},
 		{name: "open, with two keys", path: "/open", keys: []string{"first-secret", "other-secret"}, want: 202},
 	} {
-		quiet := long
+		quiet := edgetest.LongQuiet
 		if c.stale {
-			quiet = short
+			quiet = edgetest.ShortQuiet
 		}
 		d := keyedEdge(t, quiet)
 		if c.stale {
-			time.Sleep((2*short + 5).Duration())
+			edgetest.OutlastShortQuiet()
 		}
 		w, taken := exchange(d, withKeys("POST", c.path, c.keys...))
 		if w.Code != c.want || (w.Code == 503) != (w.Header().Get("Retry-After") != "") {
@@ -174,7 +169,7 @@
 // TestKeysNotInForce: where no part of the rules asks for keys, none is looked at.
 func TestKeysNotInForce(t *testing.T) {
 	for _, keys := range [][]string{nil, {"first-secret"}, {"strange-secret"}, {"a", "b"}} {
-		d := keyedEdge(t, long)
+		d := keyedEdge(t, edgetest.LongQuiet)
 		d.bounds.keys.InForce = false
 		w, taken := exchange(d, withKeys("POST", "/x", keys...))
 		if w.Code != 202 || len(taken) != 1 || taken[0].Tenant != "" {
@@ -189,7 +184,7 @@
 // TestWithdrawnKey: a version that takes a key away binds at once, for messages and for
 // questions; other keys of the tenant go on.
 func TestWithdrawnKey(t *testing.T) {
-	d := keyedEdge(t, long)
+	d := keyedEdge(t, edgetest.LongQuiet)
 	configureKeys(d, "3", `"second-secret"`)
 	for key, want := range map[string][2]int{"first-secret": {401, 401}, "second-secret": {202, 200}} {
 		if w, _ := exchange(d, withKeys("POST", "/x", key)); w.Code != want[0] {
@@ -227,13 +222,13 @@
 				names []string
 				want  int
 			}{{[]string{"t/m"}, c.owned}, {[]string{"m"}, c.open}, {nil, c.none}} {
-				quiet := long
+				quiet := edgetest.LongQuiet
 				if c.stale {
-					quiet = short
+					quiet = edgetest.ShortQuiet
 				}
 				d := keyedEdge(t, quiet)
 				if c.stale {
-					time.Sleep((2*short + 5).Duration())
+					edgetest.OutlastShortQuiet()
 				}
 				w, _ := exchange(d, withKeys("GET", path+"0.m", c.keys...), known.names...)
 				if w.Code != known.want || (w.Code == 503) != (w.Header().Get("Retry-After") != "") {
@@ -242,7 +237,7 @@
 			}
 		}
 	}
-	d := keyedEdge(t, long) // a name can't bring another tenant in
+	d := keyedEdge(t, edgetest.LongQuiet) // a name can't bring another tenant in
 	for _, name := range []string{"t%2Fm", "t/m", strings.Repeat("a", 60) + "%2Fm", "0.t%2Fm"} {
 		w, _ := exchange(d, withKeys("GET", "/v1/message/"+name, "other-secret"), "t/m", strings.Repeat("a", 60)+"/m")
 		if w.Code != http.StatusBadRequest {
@@ -254,7 +249,7 @@
 // TestKeysLapse: where a withdrawn key must end everywhere, an edge that can't confirm its
 // configuration serves no keys, and is not ready; open routes go on.
 func TestKeysLapse(t *testing.T) {
-	d := keyedEdge(t, short)
+	d := keyedEdge(t, edgetest.ShortQuiet)
 	serves := func() bool {
 		answer := make(chan bool)
 		d.core.Actor.Do(func() {
@@ -263,12 +258,12 @@
 		})
 		return <-answer
 	}
-	d.bounds.keys.Lapse = long
+	d.bounds.keys.Lapse = edgetest.LongQuiet
 	if !serves() {
 		t.Error("an edge that can confirm its configuration is not ready")
 	}
-	d.bounds.keys.Lapse = 4 * short
-	time.Sleep((4*short + 10).Duration())
+	d.bounds.keys.Lapse = 4 * edgetest.ShortQuiet
+	time.Sleep((4*edgetest.ShortQuiet + 10).Duration())
 	if serves() {
 		t.Error("an edge that can't confirm its configuration is ready")
 	}
@@ -340,7 +335,7 @@
 // TestTenantsGoToStores: with quotas in force messages go with whose limits they count
 // against; two tenants' messages of one id are two.
 func TestTenantsGoToStores(t *testing.T) {
-	d := keyedEdge(t, long)
+	d := keyedEdge(t, edgetest.LongQuiet)
 	d.bounds.keys.Quotas = true
 	for key, tenant := range map[string]ids.Tenant{"first-secret": "t", "other-secret": "u"} {
 		served := make(chan *httptest.ResponseRecorder, 1)
