TestQuestions: clients that are to be answered wait for it, however busy the machine is

All clients waited 300 ms, for answers that are to come and for such as are not to: the first of two that ask for one message was answered 504 when the second asked 0.3 s later.

Change: clients say how long they wait (X-Time-Remaining): 300 ms where 504 is expected, 20 s where an answer is. What is judged is as it was. The station's long lines are broken up.

--- a/internal/httpedge/calls_test.go
+++ b/internal/httpedge/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,17 +106,30 @@
 
 const reset = transport.Kind(255)
 
+const stationGroups = 5
+
+// How long a client of a station waits for its answer: one that gets one, however busy the
+// machine is, and one that is to get none.
+const (
+	patient   = ids.Millis(20_000)
+	impatient = ids.Millis(300)
+)
+
 // station is an edge over loopback, and a store that leads all groups and answers
 // what is handed in with what say says: known, deny, nothing, or by resetting the link.
 func station(t *testing.T, say func(p shardapi.Propose, id string) transport.Kind) (d *Daemon, front string) {
-	config := controlapi.Pack([]byte(`{"config_release":1,"routing_entries":[{"label":"x","host_id":"","path_prefix":"/x","route_class":"deferred","service_ref":"s","hold_s":60}],"service_set":[{"label":"s"}]}`))
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	addr := ids.Node(ln.Addr().String())
 	ln.Close()
-	b := transport.Bounds{Queue: 1 << 20, Frame: 1 << 20, Dial: time.Second, Silence: time.Second, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
+	b := transport.Bounds{
+		Queue: 1 << 20, Frame: 1 << 20,
+		Dial: time.Second, Silence: time.Second,
+		RetryMin: time.Millisecond, RetryMax: time.Millisecond,
+	}
 	store := transport.New(transport.Hello{Node: addr, Incarnation: 1}, b, func(l *transport.Link, k transport.Kind, raw []byte) {
 		if x, ok := transport.Get[shardapi.Who](raw); ok && k == shardapi.KindWho {
 			l.Send(shardapi.KindLead, shardapi.Lead{Group: x.Group, Node: addr})
@@ -136,10 +150,18 @@
 	if err := store.Listen(string(addr)); err != nil {
 		t.Fatal(err)
 	}
-	d = &Daemon{core: &edgecore.Core{Actor: replication.NewActor(100), Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 5)}}}, bounds: bounds{maxCalls: 100, maxBytes: 1 << 20, maxBody: 1 << 16, replicaQuiet: 400, resend: 50, leaderLate: 1 << 30, answerWait: 300},
-		calls: map[paxos.ID]*call{}, outbox: map[ids.Group][]*call{}, zones: map[ids.Node]ids.Zone{}, leaders: map[ids.Group]*leader{}}
-	d.core.Updates.Configure(&controlapi.Update{Release: 1, Config: config})
-	for g := ids.Group(0); g < 5; g++ {
+	update := &controlapi.Update{
+		Release: 1,
+		Config:  controlapi.Pack([]byte(oneRoute)),
+		Shards:  make([]controlapi.Shard, stationGroups),
+	}
+	d = newDaemon(bounds{
+		maxCalls: 100, maxBytes: 1 << 20, maxBody: 1 << 16,
+		replicaQuiet: 400, resend: 50, leaderLate: 1 << 30, answerWait: patient,
+	})
+	d.core = &edgecore.Core{Actor: replication.NewActor(100), Control: &controlapi.Client{Update: update}}
+	d.core.Updates.Configure(update)
+	for g := range ids.Group(stationGroups) {
 		d.core.Control.Update.Shards[g].Voters = []paxos.Member{{ID: 1, Node: addr}}
 	}
 	d.core.Hub = transport.New(transport.Hello{Node: "edge", Incarnation: 2}, b, d.onFrame, func(l *transport.Link) {
@@ -151,7 +173,7 @@
 		d.forward(ids.MonotonicNow())
 		return 5 * time.Millisecond
 	})
-	for n := 0; n < 5; { // until all leaders are known
+	for n := 0; n < stationGroups; { // until all leaders are known
 		time.Sleep(5 * time.Millisecond)
 		known := make(chan int)
 		d.core.Actor.Do(func() {
@@ -170,24 +192,31 @@
 	return d, srv.Listener.Addr().String()
 }
 
-// question is a message as a client writes it.
-func question(id string) string {
-	return "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 4\r\n\r\nbody"
+// question is a message as a client writes it that waits for so long.
+func question(id string, wait ids.Millis) string {
+	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Time-Remaining: %d\r\n"+
+		"Content-Length: 4\r\n\r\nbody", id, wait)
 }
 
 // put writes questions on one connection and reads as many answers.
-func put(t *testing.T, front string, ids ...string) (codes []int, names []string) {
+func put(t *testing.T, front string, messages ...string) (codes []int, names []string) {
+	t.Helper()
+	return putFor(t, patient, front, messages...)
+}
+
+// putFor is put by a client that waits for so long.
+func putFor(t *testing.T, wait ids.Millis, front string, messages ...string) (codes []int, names []string) {
 	t.Helper()
 	c, err := net.Dial("tcp", front)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	for _, id := range ids {
-		io.WriteString(c, question(id))
+	for _, id := range messages {
+		io.WriteString(c, question(id, wait))
 	}
 	r := bufio.NewReader(c)
-	for range ids {
+	for range messages {
 		a, err := http.ReadResponse(r, nil)
 		if err != nil {
 			t.Fatal(err)
@@ -243,7 +272,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	io.WriteString(c, question("gone"))
+	io.WriteString(c, question("gone", impatient))
 	time.Sleep(30 * time.Millisecond)
 	c.Close()
 	if codes, names := put(t, front, "next"); codes[0] != 202 || names[0][1:] != ".next" {
@@ -264,12 +293,12 @@
 		t.Fatalf("asked twice at once: %v", codes)
 	}
 	set("late", 0)
-	if codes, _ := put(t, front, "late"); codes[0] != 504 {
+	if codes, _ := putFor(t, impatient, front, "late"); codes[0] != 504 {
 		t.Fatalf("no answer: %v", codes)
 	}
 	d.core.Actor.Do(func() { d.decided(ids.MonotonicNow(), paxos.ID{Origin: "late"}) })
 	set("late", shardapi.KindDeny)
-	if codes, _ := put(t, front, "late"); codes[0] != 504 {
+	if codes, _ := putFor(t, impatient, front, "late"); codes[0] != 504 {
 		t.Fatalf("turned away after it may have been taken: %v", codes)
 	}
 	set("late", shardapi.KindKnown)
