Bodies of requests are read within one budget of memory

Cause: bodies counted towards a bound only when they had been read.

Change: package requestbody reads them within a budget that all requests of a server share. An edge of a queue has as many bytes for it as for the messages under way (an eighth of limits.memory_mb, 4 MB at least), a control process 8 configurations of the largest size, and 4 MB for calls of machines and workers.

The same class elsewhere: an edge of topics takes 16 KiB bodies of (fd_limit - 200) / 2 connections at the most; readiness and metrics read no bodies.

--- a/internal/controlhttp/controlhttp.go
+++ b/internal/controlhttp/controlhttp.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/metrics"
+	"oxbowdeck/internal/requestbody"
 	"oxbowdeck/internal/requestlog"
 )
 
@@ -66,11 +66,12 @@
 
 func handler(d Control, b Bounds, m *metrics.Control) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /v1/configuration", func(w http.ResponseWriter, r *http.Request) { put(w, r, d, b, m) })
+	bodies := newBodies(b)
+	mux.HandleFunc("PUT /v1/configuration", func(w http.ResponseWriter, r *http.Request) { put(w, r, d, b, bodies, m) })
 	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, _ *http.Request) { current(w, d, b) })
-	mux.HandleFunc("POST /v1/retire/{node}", func(w http.ResponseWriter, r *http.Request) { retire(w, r, d, b) })
+	mux.HandleFunc("POST /v1/retire/{node}", func(w http.ResponseWriter, r *http.Request) { retire(w, r, d, b, bodies) })
 	mux.HandleFunc("GET /v1/retire/{node}", func(w http.ResponseWriter, r *http.Request) { retirement(w, r, d, b) })
-	workers(mux, d, b)
+	workers(mux, d, b, bodies)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { status(w, r, d) })
 	if metricsHandler := m.Handler(); metricsHandler != nil {
 		mux.Handle("GET "+metrics.Path, metricsHandler)
@@ -107,11 +108,11 @@
 }
 
 // retire orders a storage machine to be emptied.
-func retire(w http.ResponseWriter, r *http.Request, d Control, b Bounds) {
+func retire(w http.ResponseWriter, r *http.Request, d Control, b Bounds, bodies bodies) {
 	var order struct {
 		RampS float64 `json:"ramp_s"`
 	}
-	if !read(w, r, mostOrder, &order) {
+	if !bodies.readOrder(w, r, &order) {
 		return
 	}
 	if order.RampS < 0 {
@@ -147,34 +148,61 @@
 	}
 }
 
-// mostOrder is the largest body of a call about one machine or worker.
-const mostOrder = 16 << 10
+const (
+	// mostOrder is the largest body of a call about one machine or worker.
+	mostOrder = 16 << 10
+	// orderMemory is what the bodies of such calls may take at one time.
+	orderMemory = 4 << 20
+	// configurationsAtOnce is how many configurations of the largest size may be read and checked
+	// at one time. Operators have up to eight orders under way.
+	configurationsAtOnce = 8
+)
+
+// bodies bounds the memory of the bodies that are being read, or worked on. Calls of workers
+// and configurations do not take each other's.
+type bodies struct {
+	orders         *requestbody.Budget
+	configurations *requestbody.Budget
+}
 
-// whole reads a body; without it, the caller is told why.
-func whole(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+func newBodies(b Bounds) bodies {
+	return bodies{
+		orders:         requestbody.NewBudget(orderMemory),
+		configurations: requestbody.NewBudget(configurationsAtOnce * (b.Body + 1)),
+	}
+}
+
+// whole reads a body, which the caller releases; without it, the caller is told why.
+func whole(w http.ResponseWriter, r *http.Request, budget *requestbody.Budget, most int64) (*requestbody.Body, error) {
+	body, err := budget.Read(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
 	var big *http.MaxBytesError
 	switch {
 	case err == nil:
-		return body, true
+	case errors.Is(err, requestbody.ErrBusy):
+		later(w, err)
 	case errors.As(err, &big):
 		text := "the body is larger than " + strconv.FormatInt(most, 10) + " bytes"
 		say(w, http.StatusRequestEntityTooLarge, answer{Error: text})
 	default:
 		say(w, http.StatusBadRequest, answer{Error: "the body could not be read: " + err.Error()})
 	}
-	return nil, false
+	return body, err
 }
 
-// read reads a body that is one JSON object and nothing else; an empty one says
+// readOrder reads a body that is one JSON object and nothing else; an empty one says
 // nothing.
-func read(w http.ResponseWriter, r *http.Request, most int64, v any) bool {
-	body, ok := whole(w, r, most)
-	if body = bytes.TrimSpace(body); !ok || len(body) == 0 {
-		return ok
+func (b bodies) readOrder(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, err := whole(w, r, b.orders, mostOrder)
+	if err != nil {
+		return false
+	}
+	defer body.Release()
+	text := bytes.TrimSpace(body.Bytes)
+	if len(text) == 0 {
+		return true
 	}
-	err := json.Unmarshal(body, v)
-	if err == nil && body[0] != '{' {
+	err = json.Unmarshal(text, v)
+	if err == nil && text[0] != '{' {
 		err = errors.New("it is no object")
 	}
 	if err != nil {
--- a/internal/controlhttp/put.go
+++ b/internal/controlhttp/put.go
@@ -8,17 +8,24 @@
 
 	"oxbowdeck/internal/control"
 	"oxbowdeck/internal/metrics"
+	"oxbowdeck/internal/requestbody"
 )
 
 var errIfMatch = errors.New("If-Match must hold the number of the version this one builds on")
 
 // put takes a configuration, and counts what it is answered.
-func put(w http.ResponseWriter, r *http.Request, d Control, b Bounds, m *metrics.Control) {
-	body, ok := whole(w, r, b.Body)
-	if !ok {
+func put(w http.ResponseWriter, r *http.Request, d Control, b Bounds, bodies bodies, m *metrics.Control) {
+	read, err := whole(w, r, bodies.configurations, b.Body)
+	switch {
+	case errors.Is(err, requestbody.ErrBusy):
+		m.Refused(metrics.RefusedUnavailable)
+		return
+	case err != nil:
 		m.Refused(metrics.RefusedInvalid)
 		return
 	}
+	defer read.Release()
+	body := read.Bytes
 	release, match, err := checkPut(r, body)
 	if err != nil {
 		m.Refused(metrics.RefusedInvalid)
--- a/internal/controlhttp/workers.go
+++ b/internal/controlhttp/workers.go
@@ -54,11 +54,11 @@
 }
 
 // workers takes the calls of workers.
-func workers(mux *http.ServeMux, d Control, b Bounds) {
+func workers(mux *http.ServeMux, d Control, b Bounds, bodies bodies) {
 	wait := ids.Millis(b.Wait / time.Millisecond)
 	mux.HandleFunc("PUT /v1/instances/{id}", func(w http.ResponseWriter, r *http.Request) {
 		var x heartbeat
-		if !read(w, r, mostOrder, &x) {
+		if !bodies.readOrder(w, r, &x) {
 			return
 		}
 		worker, why := x.worker(r.PathValue("id"))
--- a/internal/httpedge/bodies_test.go
+++ b/internal/httpedge/bodies_test.go
@@ -14,7 +14,7 @@
 	const (
 		clients  = 200
 		body     = 250 << 10
-		most     = 4 << 20  // of messages under way
+		most     = 1 << 20  // of messages under way
 		overhead = 12 << 20 // of connections at both ends, and what is not collected
 	)
 	d := begun(t)
--- a/internal/httpedge/edge.go
+++ b/internal/httpedge/edge.go
@@ -14,6 +14,7 @@
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
+	"oxbowdeck/internal/requestbody"
 	"oxbowdeck/internal/settings"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
@@ -33,13 +34,14 @@
 	outbox    map[ids.Group][]*call // to be forwarded
 	leaders   map[ids.Group]*leader
 	zones     map[ids.Node]ids.Zone // of the stores
+	bodies    *requestbody.Budget   // of those that are being read
 	bounds    bounds
 }
 
 // bounds of an edge, all from the settings.
 type bounds struct {
 	maxCalls     int        // messages under way
-	maxBytes     int        // their bodies
+	maxBytes     int        // their bodies; as many again may be read meanwhile
 	resend       ids.Millis // a message without an outcome is handed in anew
 	replicaQuiet ids.Millis // silence after which a store is left for another
 	leaderLate   ids.Millis // a leader that answers nothing for so long is passed by
@@ -88,7 +90,8 @@
 func newDaemon(b bounds) *Daemon {
 	return &Daemon{
 		calls: map[paxos.ID]*call{}, inquiries: map[uint64]*inquiry{}, outbox: map[ids.Group][]*call{},
-		leaders: map[ids.Group]*leader{}, zones: map[ids.Node]ids.Zone{}, bounds: b,
+		leaders: map[ids.Group]*leader{}, zones: map[ids.Node]ids.Zone{},
+		bodies: requestbody.NewBudget(int64(b.maxBytes)), bounds: b,
 	}
 }
 
--- a/internal/httpedge/handle.go
+++ b/internal/httpedge/handle.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -15,6 +14,7 @@
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/queue"
+	"oxbowdeck/internal/requestbody"
 	"oxbowdeck/internal/watch"
 )
 
@@ -192,16 +192,20 @@
 		writeErrorIfCurrent(w, view, http.StatusRequestEntityTooLarge, tooLarge)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := d.bodies.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var past *http.MaxBytesError
 	switch {
 	case errors.As(err, &past):
 		writeErrorIfCurrent(w, view, http.StatusRequestEntityTooLarge, tooLarge)
 		return false
+	case errors.Is(err, requestbody.ErrBusy):
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return false
 	case err != nil:
 		writeError(w, http.StatusBadRequest, "the body could not be read: "+err.Error())
 		return false
 	}
-	msg.Packed, msg.Body = compression.Body(body)
+	msg.Packed, msg.Body = compression.Body(body.Bytes)
+	body.Release() // from here on it counts among the messages under way
 	return true
 }
