Control reads eight configurations of the largest size at once, as operators may send

Cause: half of a budget is for first pieces, so that the memory of eight configurations let four be read.

--- a/internal/controlhttp/controlhttp.go
+++ b/internal/controlhttp/controlhttp.go
@@ -166,9 +166,10 @@
 }
 
 func newBodies(b Bounds) bodies {
+	const halves = 2 // of a budget, one of which is for first pieces alone
 	return bodies{
 		orders:         requestbody.NewBudget(orderMemory),
-		configurations: requestbody.NewBudget(configurationsAtOnce * (b.Body + 1)),
+		configurations: requestbody.NewBudget(halves * configurationsAtOnce * (b.Body + 1)),
 	}
 }
 
