--- a/internal/controlhttp/bodies_test.go
+++ b/internal/controlhttp/bodies_test.go
@@ -53,7 +53,8 @@
 // putOf gives what a configuration is answered.
 func putOf(t *testing.T, address, configuration string) int {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPut, "http://"+address+"/v1/configuration", strings.NewReader(configuration))
+	url := "http://" + address + "/v1/configuration"
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(configuration))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpedge/calls_test.go
+++ b/internal/httpedge/calls_test.go
@@ -25,11 +25,9 @@
 // TestOneGroup: a message that any group may take is given to one alone, also
 // when it waited for a group without a leader first and was moved from there.
 func TestOneGroup(t *testing.T) {
-	hub := transport.New(transport.Hello{Node: "e"}, transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}, nil, func(*transport.Link) {})
-	d := &Daemon{core: &edgecore.Core{Hub: hub, Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 2)}}}, bounds: bounds{replicaQuiet: 400, resend: 250},
-		calls: map[paxos.ID]*call{}, outbox: map[ids.Group][]*call{}, zones: map[ids.Node]ids.Zone{},
-		leaders: map[ids.Group]*leader{0: {}, 1: {node: "127.0.0.1:2"}}}
-	c := &call{request: paxos.Request{ID: paxos.ID{Origin: "m"}}, anyGroup: true, deadline: 2000, waiters: []chan outcome{make(chan outcome, 1)}}
+	d := edgeOf(t, bounds{replicaQuiet: 400, resend: 250}, "", "127.0.0.1:2")
+	c := callOf("m")
+	c.anyGroup, c.deadline = true, 2000
 	d.calls[c.request.ID] = c
 	d.queue(c) // of group 0, which has no leader
 	d.forward(0)
@@ -49,7 +47,8 @@
 	d.denied(80, c.sentTo, shardapi.Deny{Group: 1, Full: true, IDs: []paxos.ID{c.request.ID}})
 	d.forward(81)
 	if c.group != 0 || c.forwards != 1 || c.sentTo != "127.0.0.1:1" || len(c.waiters[0]) != 0 {
-		t.Fatalf("turned away by one group of two, and now of group %d, given %d times, last to %s", c.group, c.forwards, c.sentTo)
+		t.Fatalf("turned away by one group of two, and now of group %d, given %d times, last to %s",
+			c.group, c.forwards, c.sentTo)
 	}
 	d.denied(82, c.sentTo, shardapi.Deny{Group: 0, Full: true, IDs: []paxos.ID{c.request.ID}})
 	if len(c.waiters[0]) != 1 {
@@ -76,8 +75,9 @@
 // TestLate: a leader that keeps messages waiting is passed by, if another is there.
 func TestLate(t *testing.T) {
 	now := ids.MonotonicNow()
-	d := &Daemon{core: &edgecore.Core{Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 2)}}}, bounds: bounds{leaderLate: 120}, zones: map[ids.Node]ids.Zone{},
-		leaders: map[ids.Group]*leader{0: {node: "a", oldestUnanswered: now - 500, heardAt: now - 400}, 1: {node: "b", oldestUnanswered: now - 500, heardAt: now}}}
+	d := edgeOf(t, bounds{leaderLate: 120}, "a", "b")
+	d.leaders[0].oldestUnanswered, d.leaders[1].oldestUnanswered = now-500, now-500
+	d.leaders[0].heardAt, d.leaders[1].heardAt = now-400, now
 	for i := 0; i < 40; i++ {
 		c := &call{anyGroup: true}
 		if !d.chooseGroup(c) || c.group != 1 {
@@ -253,13 +253,15 @@
 		how[id] = k
 		mu.Unlock()
 	}
-	if codes, names := put(t, front, "p1", "p2", "p3"); !slices.Equal(codes, []int{202, 202, 202}) || names[0][1:] != ".p1" || names[1][1:] != ".p2" || names[2][1:] != ".p3" {
+	codes, names := put(t, front, "p1", "p2", "p3")
+	if !slices.Equal(codes, []int{202, 202, 202}) ||
+		names[0][1:] != ".p1" || names[1][1:] != ".p2" || names[2][1:] != ".p3" {
 		t.Fatalf("pipelined: %v %v", codes, names)
 	}
 
 	// reset while it was on its way, or its answer: it goes again, to the same group
 	set("reset", reset)
-	codes, names := put(t, front, "reset")
+	codes, names = put(t, front, "reset")
 	mu.Lock()
 	if codes[0] != 202 || names[0] != messageName(saw["reset"][0], "reset") || len(saw["reset"]) < 2 {
 		t.Fatalf("a link was reset: %v %v, went to %v", codes, names, saw["reset"])
@@ -319,16 +321,17 @@
 // unless no other is there; one in sequence has no other and is answered.
 func TestFullIsPassedBy(t *testing.T) {
 	now := ids.MonotonicNow()
-	d := &Daemon{bounds: bounds{leaderLate: 120}, core: &edgecore.Core{Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 2)}}}, zones: map[ids.Node]ids.Zone{},
-		calls: map[paxos.ID]*call{}, outbox: map[ids.Group][]*call{}, leaders: map[ids.Group]*leader{0: {node: "a"}, 1: {node: "b"}}}
-	ordered := &call{request: paxos.Request{ID: paxos.ID{Origin: "m"}}, group: 0, sentTo: "a", forwards: 1, waiters: []chan outcome{make(chan outcome, 1)}}
+	d := edgeOf(t, bounds{leaderLate: 120}, "a", "b")
+	ordered := callOf("m")
+	ordered.sentTo, ordered.forwards = "a", 1
 	d.calls[ordered.request.ID] = ordered
 	d.denied(now, "a", shardapi.Deny{Group: 0, Full: true, IDs: []paxos.ID{ordered.request.ID}})
 	if len(ordered.waiters[0]) != 1 || (<-ordered.waiters[0]).verdict != verdictNever {
 		t.Fatal("a message in sequence is not told that its shard is full")
 	}
 	for i := 0; i < 40; i++ {
-		c := &call{anyGroup: true, request: paxos.Request{ID: paxos.ID{Origin: strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16)}}}
+		c := callOf(strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16))
+		c.anyGroup = true
 		if !d.chooseGroup(c) || c.group != 1 {
 			t.Fatal("given to a group that has no room")
 		}
@@ -340,7 +343,8 @@
 	d.leaders[0].fullUntil, d.leaders[1].node = now-1, "b"
 	went := map[ids.Group]bool{}
 	for i := 0; i < 40; i++ {
-		c := &call{anyGroup: true, request: paxos.Request{ID: paxos.ID{Origin: strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16)}}}
+		c := callOf(strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16))
+		c.anyGroup = true
 		d.chooseGroup(c)
 		went[c.group] = true
 	}
@@ -352,13 +356,12 @@
 // TestWaitsForALeader: a message that any group may take waits, while none has a
 // leader, for half of its time, and goes to the first that has one.
 func TestWaitsForALeader(t *testing.T) {
-	hub := transport.New(transport.Hello{Node: "e"}, transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}, nil, func(*transport.Link) {})
 	now := ids.MonotonicNow()
-	d := &Daemon{bounds: bounds{replicaQuiet: 400, resend: 250, maxCalls: 9, maxBytes: 9999}, core: &edgecore.Core{Hub: hub, Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 2)}}},
-		zones: map[ids.Node]ids.Zone{}, calls: map[paxos.ID]*call{}, outbox: map[ids.Group][]*call{}, leaders: map[ids.Group]*leader{0: {}, 1: {}}}
+	d := edgeOf(t, bounds{replicaQuiet: 400, resend: 250, maxCalls: 9, maxBytes: 9999}, "", "")
 	var all []*call
 	for _, id := range []string{"lucky", "late"} {
-		c := &call{request: paxos.Request{ID: paxos.ID{Origin: id}}, since: now, deadline: now + 2000, waiters: []chan outcome{make(chan outcome, 1)}}
+		c := callOf(id)
+		c.since, c.deadline = now, now+2000
 		d.admit(&controlapi.Space{}, "", c)
 		all = append(all, c)
 	}
@@ -384,11 +387,8 @@
 // TestReadyWithMostGroups: an edge that begins is ready once most groups have a
 // leader; one without, for good, keeps no edge from serving the others.
 func TestReadyWithMostGroups(t *testing.T) {
-	d := &Daemon{core: &edgecore.Core{Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 4)}}}, leaders: map[ids.Group]*leader{}}
+	d := edgeOf(t, bounds{}, "", "", "", "")
 	d.core.Updates.Configure(&controlapi.Update{Release: 1, Config: controlapi.Pack([]byte(`{"config_release":1}`))})
-	for g := ids.Group(0); g < 4; g++ {
-		d.leaders[g] = &leader{}
-	}
 	want := []struct{ fresh, ready bool }{{false, false}, {false, false}, {false, true}, {true, true}, {true, true}}
 	for led := 0; led <= 4; led++ {
 		if led > 0 {
@@ -409,7 +409,9 @@
 
 // TestRetryAfter: a client that waited here need not wait as long again.
 func TestRetryAfter(t *testing.T) {
-	for waited, want := range map[time.Duration]string{0: "1", 400 * time.Millisecond: "1", 500 * time.Millisecond: "0", 2 * time.Second: "0"} {
+	for waited, want := range map[time.Duration]string{
+		0: "1", 400 * time.Millisecond: "1", 500 * time.Millisecond: "0", 2 * time.Second: "0",
+	} {
 		if got := retryAfter(waited); got != want {
 			t.Errorf("after %s: %s", waited, got)
 		}
@@ -430,11 +432,7 @@
 // another group lost its leader, and all groups alike; one that gave it to another
 // group gives it there again, whoever leads now.
 func TestSameGroup(t *testing.T) {
-	d := &Daemon{core: &edgecore.Core{Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 5)}}}, bounds: bounds{leaderLate: 120, maxCalls: 9999, maxBytes: 9999}, leaders: map[ids.Group]*leader{},
-		calls: map[paxos.ID]*call{}, outbox: map[ids.Group][]*call{}}
-	for g := ids.Group(0); g < 5; g++ {
-		d.leaders[g] = &leader{node: "s"}
-	}
+	d := edgeOf(t, bounds{leaderLate: 120, maxCalls: 9999, maxBytes: 9999}, "s", "s", "s", "s", "s")
 	went := map[ids.Group]int{}
 	for i := 0; i < 1000; i++ {
 		a := &call{request: paxos.Request{ID: paxos.ID{Origin: strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16)}}}
@@ -463,7 +461,7 @@
 // TestAsks: an answer that comes after its asker gave up is nobody's: numbers of
 // questions are not used again.
 func TestAsks(t *testing.T) {
-	d := &Daemon{inquiries: map[uint64]*inquiry{}, core: &edgecore.Core{Actor: replication.NewActor(9), Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 1)}}}, bounds: bounds{maxCalls: 9}}
+	d := edgeOf(t, bounds{maxCalls: 9}, "")
 	go d.core.Actor.Run(func() time.Duration { return 0 })
 	defer d.core.Actor.Stop()
 	got := make(chan shardapi.Stated, 2)
--- a/internal/httpedge/inquiries_test.go
+++ b/internal/httpedge/inquiries_test.go
@@ -9,6 +9,8 @@
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/edgecore"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/paxos"
+	"oxbowdeck/internal/replication"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
 )
@@ -19,22 +21,37 @@
 	newLeader     = ids.Node("127.0.0.1:2")
 )
 
-// edgeOfOneGroup is an edge that believes that one group is led by earlierLeader.
-func edgeOfOneGroup(t *testing.T) *Daemon {
+// edgeOf is an edge of as many groups as leaders are named, which it believes in; of a group
+// whose name is empty it knows no leader.
+func edgeOf(t *testing.T, b bounds, leaders ...ids.Node) *Daemon {
 	links := transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
 	hub := transport.New(transport.Hello{Node: "edge"}, links, nil, func(*transport.Link) {})
 	t.Cleanup(func() { hub.Close(0) })
-	return &Daemon{
-		core: &edgecore.Core{
-			Hub:     hub,
-			Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 1)}},
-		},
-		bounds:    bounds{maxCalls: 9, replicaQuiet: 400, resend: 250},
-		inquiries: map[uint64]*inquiry{},
-		leaders:   map[ids.Group]*leader{0: {node: earlierLeader}},
+	d := newDaemon(b)
+	d.core = &edgecore.Core{
+		Actor:   replication.NewActor(9),
+		Hub:     hub,
+		Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, len(leaders))}},
+	}
+	for g, node := range leaders {
+		d.leaders[ids.Group(g)] = &leader{node: node}
+	}
+	return d
+}
+
+// callOf is a message of that id for which one client waits.
+func callOf(id string) *call {
+	return &call{
+		request: paxos.Request{ID: paxos.ID{Origin: id}},
+		waiters: []chan outcome{make(chan outcome, 1)},
 	}
 }
 
+// edgeOfOneGroup is an edge that believes that one group is led by earlierLeader.
+func edgeOfOneGroup(t *testing.T) *Daemon {
+	return edgeOf(t, bounds{maxCalls: 9, replicaQuiet: 400, resend: 250}, earlierLeader)
+}
+
 // leads is a store's word on who leads the group.
 func (d *Daemon) leads(now ids.Millis, from, leader ids.Node) {
 	body, _ := cbor.Marshal(shardapi.Lead{Group: 0, Node: leader})
--- a/internal/requestbody/requestbody_test.go
+++ b/internal/requestbody/requestbody_test.go
@@ -61,7 +61,8 @@
 	if _, err := budget.Read(strings.NewReader(strings.Repeat("y", budgetBytes/4)), -1); !errors.Is(err, ErrBusy) {
 		t.Fatalf("past the budget: %v", err)
 	}
-	if _, err := budget.Read(iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("abc"))), 3); !errors.Is(err, iotest.ErrTimeout) {
+	breaks := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("abc")))
+	if _, err := budget.Read(breaks, 3); !errors.Is(err, iotest.ErrTimeout) {
 		t.Fatalf("broken off: %v", err)
 	}
 	if free(budget) != left {
