A budget of bodies names both of its parts; tests of the HTTP edge take the shared core

Cause: control knew that a budget is halved inside and doubled its own; edgeOf made a core and its links again, which edgetest.NewCore has; a constant stood for a list of one shard.

Change: NewBudget takes the bytes of first pieces and of the rest, edgeOf calls NewCore. The bytes are as they were.

--- a/internal/controlhttp/controlhttp.go
+++ b/internal/controlhttp/controlhttp.go
@@ -166,10 +166,10 @@
 }
 
 func newBodies(b Bounds) bodies {
-	const halves = 2 // of a budget, one of which is for first pieces alone
+	configurations := configurationsAtOnce * (b.Body + 1)
 	return bodies{
-		orders:         requestbody.NewBudget(orderMemory),
-		configurations: requestbody.NewBudget(halves * configurationsAtOnce * (b.Body + 1)),
+		orders:         requestbody.NewBudget(orderMemory/2, orderMemory/2),
+		configurations: requestbody.NewBudget(configurations, configurations),
 	}
 }
 
--- a/internal/edgetest/edgetest.go
+++ b/internal/edgetest/edgetest.go
@@ -25,11 +25,10 @@
 )
 
 const (
-	linkQueue   = 1 << 20 // bytes
-	linkRetry   = time.Millisecond
-	actorQueue  = 100
-	storeZone   = ids.Zone("z")
-	updateShard = 1 // shards of the update
+	linkQueue  = 1 << 20 // bytes
+	linkRetry  = time.Millisecond
+	actorQueue = 100
+	storeZone  = ids.Zone("z")
 )
 
 // NewCore is the core of an edge that has just begun: no update has reached it. It ends with
@@ -61,13 +60,11 @@
 	}
 	t.Cleanup(func() { silent.Close() })
 	store := ids.Node(silent.Addr().String())
-	shards := make([]controlapi.Shard, updateShard)
-	shards[0].Voters = []paxos.Member{{ID: 1, Node: store}}
 	core.Control.Update = &controlapi.Update{
 		Seq:     1,
 		Release: 1,
 		Config:  controlapi.Pack([]byte(configuration)),
-		Shards:  shards,
+		Shards:  []controlapi.Shard{{Voters: []paxos.Member{{ID: 1, Node: store}}}},
 		Nodes:   []controlapi.Node{{Role: controlapi.Store, Zone: storeZone, Addr: store}},
 	}
 	core.Updates = watch.Subscription{Hub: core.Hub, Control: core.Control, Zone: storeZone, Quiet: quiet}
--- a/internal/httpedge/calls_test.go
+++ b/internal/httpedge/calls_test.go
@@ -463,7 +463,6 @@
 func TestAsks(t *testing.T) {
 	d := edgeOf(t, bounds{maxCalls: 9}, "")
 	go d.core.Actor.Run(func() time.Duration { return 0 })
-	defer d.core.Actor.Stop()
 	got := make(chan shardapi.Stated, 2)
 	for _, id := range []string{"0.m1", "0.m2"} {
 		go func() {
--- a/internal/httpedge/edge.go
+++ b/internal/httpedge/edge.go
@@ -88,10 +88,11 @@
 
 // newDaemon makes an edge that has no core yet.
 func newDaemon(b bounds) *Daemon {
+	half := int64(b.maxBytes) / 2
 	return &Daemon{
 		calls: map[paxos.ID]*call{}, inquiries: map[uint64]*inquiry{}, outbox: map[ids.Group][]*call{},
 		leaders: map[ids.Group]*leader{}, zones: map[ids.Node]ids.Zone{},
-		bodies: requestbody.NewBudget(int64(b.maxBytes)), bounds: b,
+		bodies: requestbody.NewBudget(half, half), bounds: b,
 	}
 }
 
--- a/internal/httpedge/inquiries_test.go
+++ b/internal/httpedge/inquiries_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/controlapi"
-	"oxbowdeck/internal/edgecore"
+	"oxbowdeck/internal/edgetest"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
-	"oxbowdeck/internal/replication"
 	"oxbowdeck/internal/shardapi"
-	"oxbowdeck/internal/transport"
 )
 
 // Stores of the tests below: the edge believes in the first, and the second leads.
@@ -24,15 +21,10 @@
 // edgeOf is an edge of as many groups as leaders are named, which it believes in; of a group
 // whose name is empty it knows no leader.
 func edgeOf(t *testing.T, b bounds, leaders ...ids.Node) *Daemon {
-	links := transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}
-	hub := transport.New(transport.Hello{Node: "edge"}, links, nil, func(*transport.Link) {})
-	t.Cleanup(func() { hub.Close(0) })
+	t.Helper()
 	d := newDaemon(b)
-	d.core = &edgecore.Core{
-		Actor:   replication.NewActor(9),
-		Hub:     hub,
-		Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, len(leaders))}},
-	}
+	d.core = edgetest.NewCore(t)
+	d.core.Control.Update = &controlapi.Update{Shards: make([]controlapi.Shard, len(leaders))}
 	for g, node := range leaders {
 		d.leaders[ids.Group(g)] = &leader{node: node}
 	}
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -14,18 +14,18 @@
 // firstPiece is what is reserved for a body at first: a client that sends nothing holds no more.
 const firstPiece = 4 << 10
 
-// Budget is the memory that bodies may take at one time. Half of it is for the first piece of
-// each, so that small bodies pass while large ones that stall have the other half.
+// Budget is the memory that bodies may take at one time. A part of it is for the first piece of
+// each, so that small bodies pass while large ones that stall have the rest.
 type Budget struct {
 	first atomic.Int64 // free, for first pieces
 	rest  atomic.Int64 // free, for what is larger
 }
 
-// NewBudget makes a budget of so many bytes.
-func NewBudget(bytes int64) *Budget {
+// NewBudget makes a budget of so many bytes for first pieces, and for the rest of bodies.
+func NewBudget(first, rest int64) *Budget {
 	b := &Budget{}
-	b.first.Store(bytes / 2)
-	b.rest.Store(bytes - bytes/2)
+	b.first.Store(first)
+	b.rest.Store(rest)
 	return b
 }
 
--- a/internal/requestbody/requestbody_test.go
+++ b/internal/requestbody/requestbody_test.go
@@ -30,7 +30,7 @@
 			"end with data": iotest.DataErrReader(bytes.NewReader(text)),
 		} {
 			for _, length := range []int64{int64(size), -1} {
-				budget := NewBudget(budgetBytes)
+				budget := NewBudget(budgetBytes/2, budgetBytes/2)
 				if length < 0 {
 					source = bytes.NewReader(text)
 				}
@@ -52,7 +52,7 @@
 // TestBudgetIsShared: a body that passes what others leave is refused, and what was reserved
 // for it, or for one that broke off, is there for others.
 func TestBudgetIsShared(t *testing.T) {
-	budget := NewBudget(budgetBytes)
+	budget := NewBudget(budgetBytes/2, budgetBytes/2)
 	first, err := budget.Read(strings.NewReader(strings.Repeat("x", budgetBytes*3/8)), budgetBytes*3/8)
 	if err != nil {
 		t.Fatal(err)
