Review case 2: a returning client's cursors are refused past 50,000 topics in a shard

Cause: topic.State.forgetTopics keeps one place for all topics it drops, and every topic that is not known begins there.

Shown by a script with real processes; nothing is fixed. The scripts' common part is in review/standin.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -31,6 +31,7 @@
 	edges  int // in each zone
 	queue  bool
 	losses int
+	memory int // MB of each process; 0: 284
 }
 
 // process is one process of a deployment.
@@ -178,7 +179,7 @@
 		"seed_nodes=" + strings.Join(seeds, ","),
 		fmt.Sprintf("internal_ports=%d,%d", d.base+portInternalFirst, d.base+portInternalLast),
 		"initial_start=true",
-		"limits.cpu_share=0.48", "limits.core_count=1", "limits.memory_mb=284", "limits.fd_limit=4400",
+		"limits.cpu_share=0.48", "limits.core_count=1", "limits.fd_limit=4400",
 		"limits.link_mbps=600.0", "limits.disk_mb=310",
 		"discovery=registration", "entry_kind=virtual_ip", "beat_ms=1200",
 		fmt.Sprintf("fault_tolerance.machines=%d", d.shape.losses),
@@ -188,6 +189,11 @@
 		"timing_bounds.grace_s=6", "timing_bounds.loss_slack_ms=200", "timing_bounds.config_apply_ms=3000",
 		"timing_bounds.revert_slack_ms=250", "timing_bounds.outer_ms=12000", "timing_bounds.recovery_s=12",
 	}
+	memory := 284
+	if d.shape.memory > 0 {
+		memory = d.shape.memory
+	}
+	lines = append(lines, fmt.Sprintf("limits.memory_mb=%d", memory))
 	for z := range d.shape.zones {
 		lines = append(lines, fmt.Sprintf("zones.zone-%d=home", z+1))
 	}
@@ -283,9 +289,6 @@
 			return err
 		}
 	}
-	for _, p := range d.all() {
-		p.notFirst()
-	}
 	d.note("%d control processes, %d stores, %d edges", len(d.controls), len(d.stores), len(d.edges))
 	return nil
 }
@@ -298,6 +301,21 @@
 	return fmt.Sprintf("%s:%d", p.ip, d.base+portControl)
 }
 
+// recordEvents puts the events of the processes' logs that tell of leaders and of room into
+// the record.
+func (d *deployment) recordEvents() {
+	for _, p := range d.all() {
+		text, _ := os.ReadFile(p.log)
+		for _, line := range strings.Split(string(text), "\n") {
+			for _, event := range []string{"msg=leader ", "msg=memory-near-full ", "msg=link-full ", "msg=stopping ", "msg=invariant-violated "} {
+				if strings.Contains(line, event) {
+					d.line("log of %s: %s", p.name, line)
+				}
+			}
+		}
+	}
+}
+
 // awaitReady waits until every edge says that it is ready.
 func (d *deployment) awaitReady(within time.Duration) error {
 	until := time.Now().Add(within)
@@ -313,6 +331,9 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	for _, p := range d.all() {
+		p.notFirst()
+	}
 	d.note("all edges are ready")
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,8 @@
 
 // cases are the scripted cases by name. Each tells whether its rule was broken.
 var cases = map[string]func(*run) (broken bool, err error){
-	"retire": retireCase,
+	"retire":  retireCase,
+	"cursors": cursorsCase,
 }
 
 // run is one run of a case.
--- a/review/standin/messages.go
+++ b/review/standin/messages.go
@@ -42,12 +42,14 @@
 	mu       sync.Mutex
 	accepted map[string]time.Time
 	answers  map[int]int
+
+	bodyBytes int
 }
 
 // startSenders starts clients at each edge that together hand in so many messages a second.
-func startSenders(d *deployment, perSecond int) *senders {
-	s := &senders{d: d, quit: make(chan struct{}), accepted: map[string]time.Time{}, answers: map[int]int{}}
-	const clients = 16
+func startSenders(d *deployment, perSecond, bodyBytes int) *senders {
+	s := &senders{d: d, quit: make(chan struct{}), accepted: map[string]time.Time{}, answers: map[int]int{}, bodyBytes: bodyBytes}
+	const clients = 32
 	for i := range clients {
 		edge := d.edges[i%len(d.edges)]
 		s.all.Go(func() { s.send(edge, time.Second*clients/time.Duration(perSecond)) })
@@ -55,6 +57,16 @@
 	return s
 }
 
+// letters are what bodies are made of.
+const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789 ,"
+
+// count gives how many answers of a kind came.
+func (s *senders) count(code int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers[code]
+}
+
 // send is one client: one message after the other, each a try of its own.
 func (s *senders) send(edge *process, every time.Duration) {
 	client := http.Client{Timeout: 1200 * time.Millisecond, Transport: &http.Transport{}}
@@ -67,7 +79,10 @@
 		case <-ticker.C:
 		}
 		id := fmt.Sprintf("%016x", rand.Uint64())
-		body := bytes.Repeat([]byte("two rooms less; "), 150)
+		body := make([]byte, s.bodyBytes)
+		for i := range body {
+			body[i] = letters[rand.IntN(len(letters))]
+		}
 		request, err := http.NewRequest("POST", "http://"+s.d.front(edge)+"/rooms/"+id[:4], bytes.NewReader(body))
 		if err != nil {
 			return
--- a/review/standin/retire.go
+++ b/review/standin/retire.go
@@ -46,7 +46,7 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	s := startSenders(d, sendRate)
+	s := startSenders(d, sendRate, 2500)
 	time.Sleep(3 * time.Second)
 	for i := range retirements {
 		if !r.trouble {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -27,8 +27,10 @@
 	runs     *runs
 	quit     chan struct{}
 
+	room chan struct{} // holds one for each message that is worked on
+
 	mu      sync.Mutex
-	busy    int
+	busy    int // messages that are worked on or wait
 	calls   int
 	counter int
 }
@@ -86,7 +88,7 @@
 func startWorker(d *deployment, all *runs, number, zone, slots int, work time.Duration) (*worker, error) {
 	w := &worker{
 		d: d, id: fmt.Sprintf("i-%d-%d", d.base, number), service: "stock", zone: zone, slots: slots, work: work,
-		runs: all, quit: make(chan struct{}),
+		runs: all, quit: make(chan struct{}), room: make(chan struct{}, slots),
 	}
 	var err error
 	if w.listener, err = net.Listen("tcp", d.address(200+number)+":0"); err != nil {
@@ -170,12 +172,14 @@
 	if !w.take() {
 		return nil, w.answer(c, message, "503 Service Unavailable", "X-Not-Executed: 1\r\n")
 	}
+	w.room <- struct{}{}
 	one := &oneRun{message: message, worker: w.id, sender: c.RemoteAddr().String(), began: time.Now()}
 	w.runs.add(one)
 	w.d.line("worker %s: %s begins, from %s", w.id, message, one.sender)
 	time.Sleep(w.work)
+	<-w.room
 	seal := w.free()
-	err := w.answer(c, message, "200 OK", fmt.Sprintf("X-Server-Seal: %s\r\nX-Server-Load: %d,0,%d\r\n", seal, w.running(), w.slots))
+	err := w.answer(c, message, "200 OK", fmt.Sprintf("X-Server-Seal: %s\r\nX-Server-Load: %d,%d,%d\r\n", seal, min(w.running(), w.slots), max(0, w.running()-w.slots), w.slots))
 	if err != nil {
 		w.d.line("worker %s: %s done, the answer could not be written: %v", w.id, message, err)
 		return nil, err
@@ -191,7 +195,7 @@
 	return err
 }
 
-// take takes a slot, if one is free.
+// take takes a message, if there is a slot for it or a place to wait.
 func (w *worker) take() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -202,7 +206,7 @@
 	return true
 }
 
-// free gives a slot back, and gives the stamp of the run.
+// free ends a message, and gives the stamp of its run.
 func (w *worker) free() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
