--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -31,7 +31,6 @@
 	edges  int // in each zone
 	queue  bool
 	losses int
-	memory int // MB of each process; 0: 284
 }
 
 // process is one process of a deployment.
@@ -179,7 +178,7 @@
 		"seed_nodes=" + strings.Join(seeds, ","),
 		fmt.Sprintf("internal_ports=%d,%d", d.base+portInternalFirst, d.base+portInternalLast),
 		"initial_start=true",
-		"limits.cpu_share=0.48", "limits.core_count=1", "limits.fd_limit=4400",
+		"limits.cpu_share=0.48", "limits.core_count=1", "limits.memory_mb=284", "limits.fd_limit=4400",
 		"limits.link_mbps=600.0", "limits.disk_mb=310",
 		"discovery=registration", "entry_kind=virtual_ip", "beat_ms=1200",
 		fmt.Sprintf("fault_tolerance.machines=%d", d.shape.losses),
@@ -189,11 +188,6 @@
 		"timing_bounds.grace_s=6", "timing_bounds.loss_slack_ms=200", "timing_bounds.config_apply_ms=3000",
 		"timing_bounds.revert_slack_ms=250", "timing_bounds.outer_ms=12000", "timing_bounds.recovery_s=12",
 	}
-	memory := 284
-	if d.shape.memory > 0 {
-		memory = d.shape.memory
-	}
-	lines = append(lines, fmt.Sprintf("limits.memory_mb=%d", memory))
 	for z := range d.shape.zones {
 		lines = append(lines, fmt.Sprintf("zones.zone-%d=home", z+1))
 	}
--- a/review/standin/messages.go
+++ b/review/standin/messages.go
@@ -49,10 +49,10 @@
 // startSenders starts clients at each edge that together hand in so many messages a second.
 func startSenders(d *deployment, perSecond, bodyBytes int) *senders {
 	s := &senders{d: d, quit: make(chan struct{}), accepted: map[string]time.Time{}, answers: map[int]int{}, bodyBytes: bodyBytes}
-	const clients = 32
+	clients := max(32, perSecond/40)
 	for i := range clients {
 		edge := d.edges[i%len(d.edges)]
-		s.all.Go(func() { s.send(edge, time.Second*clients/time.Duration(perSecond)) })
+		s.all.Go(func() { s.send(edge, time.Second*time.Duration(clients)/time.Duration(perSecond)) })
 	}
 	return s
 }
@@ -60,13 +60,6 @@
 // letters are what bodies are made of.
 const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789 ,"
 
-// count gives how many answers of a kind came.
-func (s *senders) count(code int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answers[code]
-}
-
 // send is one client: one message after the other, each a try of its own.
 func (s *senders) send(edge *process, every time.Duration) {
 	client := http.Client{Timeout: 1200 * time.Millisecond, Transport: &http.Transport{}}
