Review case 2: delayed messages wait anew when a quiet shard changes its leader

Cause: a new leader takes decided time from the last decided instance, so a shard that decides nothing loses the time since then.

Shown by a script with real processes; nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*run) (broken bool, err error){
 	"retire":  retireCase,
 	"cursors": cursorsCase,
+	"defer":   deferCase,
 	"full":    fullCase,
 }
 
