--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -62,6 +64,14 @@
 		os.RemoveAll(dir)
 		os.Exit(exitNotRun)
 	})
+	go func() {
+		told := make(chan os.Signal, 1)
+		signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+		<-told
+		killAll()
+		os.RemoveAll(dir)
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[os.Args[1]](r)
 	killAll()
 	switch {
