Review case 1: a store is emptied, and others end for want of memory and come back no more

Cause: a store takes up replicas however full it is, and placement knows the number of replicas, not what they take. While the stores are nearly full, one order to empty a machine has others pass their memory; they are killed for it, and again each time they start.

Added: review/1, a script with one such order, and the platform's bound on memory among the stand-ins. The cases of before move up by one; those that showed the same faults from other scripts (review/5 and 6, review/standins) are merged into review/2 and review/4.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,3 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 go build -o target/review/standin ./review/standin
-go build -o target/review-standins ./review/standins
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"cursors": cursorsCase,
 	"defer":   deferCase,
 	"full":    fullCase,
+	"memory":  memoryCase,
 }
 
 // run is one run of a case.
