--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -17,11 +17,9 @@
 const (
 	memoryLook    = 10 * time.Millisecond  // between the platform's looks at the memory
 	memoryRestart = 500 * time.Millisecond // from the end of a process to its next start
-	memoryWatch   = 4 * time.Second        // after the order was carried out, or was not
+	memoryWatch   = 24 * time.Second       // from the order on
 	memoryAsked   = 100                    // messages whose bytes are asked for
 	memoryAskFor  = 8 * time.Second        // again and again, for so long
-	faultEnds     = 3                      // ends of its own, at each of
-	faultMachines = 2                      // so many machines: a tenth of those in use, two at least
 	askers        = 16
 )
 
@@ -144,26 +142,45 @@
 		}
 	}
 	d.note("%d messages are accepted, and no more", len(d.accepted))
+	ordered := time.Now()
 	if r.trouble {
-		switch err := d.retire(d.stores[0]); {
+		switch err := d.retire(d.busiestStore()); {
 		case errors.Is(err, errNotEmptied):
 			d.note("operator: %v", err)
 		case err != nil:
 			return false, err
 		}
 	}
-	time.Sleep(memoryWatch)
+	time.Sleep(time.Until(ordered.Add(memoryWatch)))
 	lost := d.askForBodies()
 	ends, most := platform.stop()
-	machines := 0
-	for _, n := range ends {
-		if n >= faultEnds {
-			machines++
-		}
-	}
 	d.note("most memory of the stores in MB: %v; killed for it: %v", most, ends)
 	d.note("of %d messages that have not ended the bytes of %d did not come", memoryAsked, lost)
-	return machines >= faultMachines || lost > 0, nil
+	return lost > 0, nil
+}
+
+// busiestStore gives the store that has a vote in the most shards.
+func (d *deployment) busiestStore() *process {
+	best, most := d.stores[0], 0
+	st, raw, err := d.readStatus(d.controls[0])
+	if err != nil {
+		return best
+	}
+	d.line("operator: the status: %s", raw)
+	for _, store := range d.stores {
+		votes := 0
+		for _, shard := range st.Shards {
+			for _, voter := range shard.Voters {
+				if voter.Node == fmt.Sprintf("%s:%d", store.ip, d.base+portInternalFirst+1) {
+					votes++
+				}
+			}
+		}
+		if votes > most {
+			best, most = store, votes
+		}
+	}
+	return best
 }
 
 // askForBodies asks for the bytes of accepted messages whose time has not come, again
