Review: no process is started once a case ends

Cause: the stand-in of the platform could start a store again after a case had given up, and left it behind.

Changed: once processes are being ended none is started any more.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -76,12 +76,14 @@
 var (
 	childrenMu sync.Mutex
 	children   []*process
+	ending     bool // no more is started
 )
 
 // killAll ends every process that was started, by its id.
 func killAll() {
 	childrenMu.Lock()
 	defer childrenMu.Unlock()
+	ending = true
 	for _, p := range children {
 		p.kill()
 	}
@@ -236,6 +238,11 @@
 
 // start starts a process with the command of the deploy file.
 func (p *process) start() error {
+	childrenMu.Lock()
+	defer childrenMu.Unlock()
+	if ending {
+		return errors.New("the case ends")
+	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -254,9 +261,7 @@
 		log.Close()
 		close(p.ended)
 	}()
-	childrenMu.Lock()
 	children = append(children, p)
-	childrenMu.Unlock()
 	return nil
 }
 
