A store that is emptied follows its shards until their leaders release it

Callers saw messages run again some 2 s after a success that a store had read in time, when that store was emptied (POST /v1/retire/NODE).

Cause: a voter that was replaced because its store is to be emptied got no place as a learner. If it led the shard, it handed over and heard nothing more: neither who leads nor what is decided. The successes that it read after that were reported to nobody, whether the store was removed or not, and the retirement was completed meanwhile, since only memberships counted.

Changed: each replaced voter follows on as a learner (Promote with UntilReleased). Every replica keeps from the decided order which process began each open attempt; the shard's leader, in touch with a majority, releases learners that have no vote, don't lead and have no open attempt, for the placement it has seen. Control drops a learner only then, or when its process is gone; completed waits for that. Attempts end with their time, so a store that is dead or cut off ends too. Edges don't follow a store that is kept for this alone.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -75,6 +75,10 @@
 	Within  ids.Millis     `cbor:"16,keyasint,omitempty"` // so long after an order it may be repeated
 	Members []paxos.Member `cbor:"17,keyasint,omitempty"`
 	Fewer   bool           `cbor:"18,keyasint,omitempty"` // found the shards also on fewer stores than 2·losses+1
+
+	// of Promote: the replaced voter follows on also where it is to be emptied, until the
+	// shard's leader releases it
+	UntilReleased bool `cbor:"19,keyasint,omitempty"`
 }
 
 // leaderOnly tells whether a command is the leader's own doing, so that it bears the
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,13 +44,14 @@
 	leaving       bool
 
 	// leader: what was reported, and when its tasks are due
-	missed       map[incarnation]map[ids.Node]ids.Millis // who misses whom
-	shardReports map[ids.Group]*shardReport
-	tasksAt      ids.Millis
-	moveAt       ids.Millis
-	counted      int // stores seen at the last look before the founding
-	foundAt      ids.Millis
-	short        shortfallLog
+	missed          map[incarnation]map[ids.Node]ids.Millis // who misses whom
+	shardReports    map[ids.Group]*shardReport
+	releasedReports map[ids.Group]releasedReport
+	tasksAt         ids.Millis
+	moveAt          ids.Millis
+	counted         int // stores seen at the last look before the founding
+	foundAt         ids.Millis
+	short           shortfallLog
 
 	// workers
 	heartbeats      []*pendingHeartbeat // that the leader has not heard of yet
@@ -106,6 +107,7 @@
 		known:           known,
 		missed:          map[incarnation]map[ids.Node]ids.Millis{},
 		shardReports:    map[ids.Group]*shardReport{},
+		releasedReports: map[ids.Group]releasedReport{},
 		heard:           map[string]workerHeard{},
 		heartbeatNumber: uint64(conf.Rand(firstHeartbeatNumbers)),
 	}
@@ -232,6 +234,8 @@
 		decode(b, func(x controlapi.Leave) { c.Missing(now, x) })
 	case controlapi.KindMemberLost:
 		decode(b, c.memberLost)
+	case controlapi.KindReleased:
+		decode(b, c.released)
 	case controlapi.KindWorkerHeartbeats:
 		decode(b, func(x controlapi.WorkerHeartbeats) { c.forwardedHeartbeats(conn, x) })
 	case controlapi.KindWorkerHeartbeatsHeard:
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -63,6 +63,7 @@
 			MemberLost: last.MemberLost,
 			Long:       map[ids.ReplicaID]bool{},
 			Stuck:      map[ids.ReplicaID]bool{},
+			Released:   c.releasedLearners(group, last.Epoch),
 		}
 		for replica, at := range last.silentSince {
 			r.Long[replica] = c.now-at >= c.conf.Replace
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -14,6 +14,15 @@
 	controlapi.MemberLost
 	Long  map[ids.ReplicaID]bool // silent for so long that a busy store may replace it
 	Stuck map[ids.ReplicaID]bool // learners that have not caught up for so long that another store is taken
+
+	// learners, of the shard's placement as it is now, that the group may let go
+	Released []paxos.Member
+}
+
+// mayDrop tells whether a learner may be let go: its group waits for nothing of it, or it is
+// not there to be waited for.
+func (r *Report) mayDrop(m paxos.Member, node *controlapi.Node) bool {
+	return node == nil || node.Gone || index(r.Released, m) >= 0
 }
 
 // maxStuckLearners bounds the learners of a shard that are waited for no longer.
@@ -108,6 +117,12 @@
 	return Command{Verb: Follow, Group: sh.Group, To: paxos.Member{ID: n.Num, Node: n.Addr}}
 }
 
+// promote has a learner take a voter's place. The one replaced follows on: it may have led,
+// and has to hear whom to report to what it began.
+func promote(sh *controlapi.Shard, from, to paxos.Member) Command {
+	return Command{Verb: Promote, Group: sh.Group, From: from, To: to, UntilReleased: true}
+}
+
 // replaceVoter gives the next step of replacing a voter that is silent or to be emptied.
 func (s *State) replaceVoter(sh *controlapi.Shard, r Report, load map[ids.Node]int) (Command, bool) {
 	for _, v := range sh.Voters {
@@ -124,7 +139,7 @@
 		ready, following := s.replacements(sh, r)
 		if n := nearest(ready, zone, votes, load); n != nil {
 			to := paxos.Member{ID: n.Num, Node: n.Addr}
-			return Command{Verb: Promote, Group: sh.Group, From: v, To: to}, true
+			return promote(sh, v, to), true
 		}
 		if following {
 			continue // it is on its way
@@ -228,7 +243,7 @@
 }
 
 // coverZones sees to it that each zone with stores has one live replica, and
-// lets go of learners that serve nothing.
+// lets go of learners that serve nothing, once their leader releases them.
 func (s *State) coverZones(sh *controlapi.Shard, r Report, load map[ids.Node]int) (Command, bool) {
 	if n := s.uncoveredZone(sh, load); n != nil {
 		load[n.Addr] += learnerLoad
@@ -242,8 +257,9 @@
 	}
 	for _, m := range sh.Learners {
 		o := s.find(m.Node)
-		useless := o == nil || o.Gone || o.Empty
-		if useless || settled && !s.tooFewVoters(sh) && s.spare(sh, o) && !s.isRelieving(sh, o, load) {
+		useless := o == nil || o.Gone || o.Empty ||
+			settled && !s.tooFewVoters(sh) && s.spare(sh, o) && !s.isRelieving(sh, o, load)
+		if useless && r.mayDrop(m, o) {
 			return Command{Verb: Drop, Group: sh.Group, To: m}, true
 		}
 	}
@@ -324,7 +340,7 @@
 			if index(reports[sh.Group].Ready, m) < 0 {
 				return Command{}, false // it is on its way
 			}
-			return Command{Verb: Promote, Group: sh.Group, From: from, To: m}, true
+			return promote(sh, from, m), true
 		}
 	}
 	for i := range s.Shards {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -99,7 +99,8 @@
 }
 
 // simulatedReports is what the shards' leaders would report, with some stores silent (for
-// long, or just now) and every other follower level.
+// long, or just now), every other follower level and nothing under way that a former
+// leader began.
 func (s *State) simulatedReports(silent map[ids.Node]bool, long bool) map[ids.Group]Report {
 	reports := map[ids.Group]Report{}
 	for _, sh := range s.Shards {
@@ -117,6 +118,9 @@
 			if !silent[m.Node] {
 				r.Ready = append(r.Ready, m)
 			}
+			if !paxos.ContainsNode(sh.Members, m.Node) {
+				r.Released = append(r.Released, m)
+			}
 		}
 		reports[sh.Group] = r
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -23,6 +23,12 @@
 	behindSince map[ids.ReplicaID]ids.Millis
 }
 
+// releasedReport is what a shard's leader last said of learners to be let go.
+type releasedReport struct {
+	controlapi.Released
+	at ids.Millis
+}
+
 // maxSuspected bounds the incarnations that are remembered as missed.
 const maxSuspected = 1024
 
@@ -130,3 +136,26 @@
 	}
 	return out
 }
+
+// released takes a shard leader's report on the learners that may be let go.
+func (c *Control) released(x controlapi.Released) {
+	if c.forward(controlapi.KindReleased, x) || int(x.Group) >= len(c.state.Shards) {
+		return
+	}
+	if c.releasedReports[x.Group].Epoch <= x.Epoch {
+		c.releasedReports[x.Group] = releasedReport{Released: x, at: c.now}
+	}
+}
+
+// releasedLearners gives the learners that a shard's leader, which made another report in
+// that epoch, released of the placement as it is now.
+func (c *Control) releasedLearners(group ids.Group, epoch ids.Ballot) []paxos.Member {
+	r, found := c.releasedReports[group]
+	if !found || int(group) >= len(c.state.Shards) || c.now-r.at > shardReportAge {
+		return nil
+	}
+	if r.Epoch != epoch || r.At != c.state.Shards[group].At {
+		return nil
+	}
+	return r.Learners
+}
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -75,8 +75,10 @@
 	return best
 }
 
-// Emptied tells how far a store's retirement is: known, asked for, and done once
-// no shard's membership in force holds it.
+// Emptied tells how far a store's retirement is: known, asked for, and done once no shard's
+// membership in force holds it and no shard's placement names it any more. A store that was
+// replaced as a voter follows on until the leader after it releases it, so what the store
+// read from workers as the leader before is decided by then.
 func (s *State) Emptied(name string) (known, asked, done bool) {
 	n, r := s.store(name), s.ordered(name)
 	if r == nil && (n == nil || !n.Empty) {
--- a/internal/control/shards.go
+++ b/internal/control/shards.go
@@ -42,7 +42,7 @@
 		sh.Voters = append([]paxos.Member(nil), sh.Voters...)
 		sh.Voters[i] = c.To
 		sh.Learners = cut(sh.Learners, follows)
-		if o := s.find(c.From.Node); o != nil && !o.Gone && !o.Empty {
+		if o := s.find(c.From.Node); o != nil && !o.Gone && (!o.Empty || c.UntilReleased) {
 			sh.Learners = append(sh.Learners, paxos.Member{ID: o.Num, Node: o.Addr})
 		}
 	case AddVoter:
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -27,6 +27,7 @@
 	KindMemberLost            transport.Kind = 18
 	KindWorkerHeartbeats      transport.Kind = 19
 	KindWorkerHeartbeatsHeard transport.Kind = 20
+	KindReleased              transport.Kind = 21
 )
 
 // Role of a process in the deployment.
--- a/internal/controlapi/membership.go
+++ b/internal/controlapi/membership.go
@@ -59,6 +59,17 @@
 	Ready  []paxos.Member
 }
 
+// Released is a shard leader's report on which learners its group may let go: they have no
+// vote in any membership known to it and don't lead, and nothing that they began while they
+// led may still be under way. It speaks of one placement: control may have changed it since.
+type Released struct {
+	_        struct{} `cbor:",toarray"`
+	Group    ids.Group
+	Epoch    ids.Ballot
+	At       ids.Slot // Shard.At of the placement
+	Learners []paxos.Member
+}
+
 // MembershipReport is a shard leader's report that these members are in force, and
 // that each of them holds everything decided before they were.
 type MembershipReport struct {
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -31,6 +31,7 @@
 	nextSubmit   ids.Millis
 	notices      notices
 	sequences    map[string]ids.Position // whose attempt is under way from here
+	open         openAttempts            // of all processes
 }
 
 func newShard(host *Host, group ids.Group) *Shard {
@@ -45,6 +46,7 @@
 		backoffs:     map[ids.Position]*backoff{},
 		notices:      newNotices(),
 		sequences:    map[string]ids.Position{},
+		open:         openAttempts{},
 	}
 }
 
@@ -59,6 +61,7 @@
 func (s *Shard) Load(b []byte) error {
 	err := s.state.Load(b)
 	s.rescan = true
+	s.open.reset(s.state)
 	return err
 }
 
@@ -78,8 +81,10 @@
 			s.schedule(now, event.Row)
 		}
 	case queue.Begin:
+		s.open.began(event)
 		s.beginDecided(now, event)
 	case queue.End:
+		s.open.ended(event)
 		s.endDecided(now, event)
 	case queue.Reserve:
 		if s.host.Reserved != nil {
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -8,7 +8,6 @@
 
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
-	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
 )
@@ -111,18 +110,22 @@
 }
 
 // replicas lists the stores that carry a shard: the own zone's first, and those
-// of a zone in any order, so that edges spread.
+// of a zone in any order, so that edges spread. A store that is to be emptied and has
+// no vote any more is about to be taken away.
 func (d *Daemon) replicas(g ids.Group) []controlapi.Node {
 	n := d.update()
 	if int(g) >= len(n.Shards) {
 		return nil
 	}
 	var out []controlapi.Node
-	for _, list := range [][]paxos.Member{n.Shards[g].Voters, n.Shards[g].Learners} {
-		for _, m := range list {
-			if x := n.Find(m.Node); x != nil && !x.Gone {
-				out = append(out, *x)
-			}
+	for _, m := range n.Shards[g].Voters {
+		if x := n.Find(m.Node); x != nil && !x.Gone {
+			out = append(out, *x)
+		}
+	}
+	for _, m := range n.Shards[g].Learners {
+		if x := n.Find(m.Node); x != nil && !x.Gone && !x.Empty {
+			out = append(out, *x)
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -124,7 +124,7 @@
 	if replica == nil || d.leaving || d.control.Update == nil {
 		return false
 	}
-	return !d.placement.unneeded(group) && replica.Core.UpToDate(now)
+	return d.placement.serves(group) && replica.Core.UpToDate(now)
 }
 
 // groupOf gives the shard that a topic belongs to.
--- a/internal/store/leader_duties.go
+++ b/internal/store/leader_duties.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/controlapi"
+	"oxbowdeck/internal/dispatch"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/replication"
@@ -33,6 +34,7 @@
 	replicas    *replication.Manager
 	control     *controlapi.Client
 	shards      *topicShards
+	queue       *dispatch.Host // of a deployment that takes in messages, else nil
 	// unknownSince is when an edge's incarnation was first missing in the updates.
 	unknownSince map[topic.EdgeIncarnation]ids.Millis
 }
@@ -63,6 +65,7 @@
 		shard := &update.Shards[group]
 		l.endSubscriptions(now, group, update)
 		l.reportMembers(now, replica.Core, shard)
+		l.reportReleased(now, replica.Core, shard)
 		l.reportMembership(replica.Core, shard)
 		l.changeMembership(now, replica.Core, shard)
 	}
--- a/internal/store/placement.go
+++ b/internal/store/placement.go
@@ -37,6 +37,9 @@
 	// unneededSince is when a replica was first seen not to be placed here any more,
 	// or when that was last in doubt.
 	unneededSince map[ids.Group]ids.Millis
+	// leaving is the groups that are followed only until their leader releases this store,
+	// which is to be emptied.
+	leaving map[ids.Group]bool
 }
 
 func newPlacement(d *Daemon) *placement {
@@ -47,11 +50,14 @@
 		replicas:      d.replicas,
 		machines:      d,
 		unneededSince: map[ids.Group]ids.Millis{},
+		leaving:       map[ids.Group]bool{},
 	}
 }
 
-// unneeded tells whether a replica is to be closed.
-func (p *placement) unneeded(group ids.Group) bool { return p.unneededSince[group] != 0 }
+// serves tells whether a replica is one that edges should follow: it is not to be closed.
+func (p *placement) serves(group ids.Group) bool {
+	return p.unneededSince[group] == 0 && !p.leaving[group]
+}
 
 // apply takes up what a control update says this store is to hold. Its disk's
 // number in a group is given with its enrolment: before, a placement that names this
@@ -62,7 +68,9 @@
 		return nil
 	}
 	for i := range update.Shards {
-		if err := p.applyShard(&update.Shards[i]); err != nil {
+		shard := &update.Shards[i]
+		p.leaving[shard.Group] = me.Empty && !paxos.ContainsNode(shard.Voters, p.self.Addr)
+		if err := p.applyShard(shard); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/store/released.go
@@ -0,0 +1,47 @@
+package store
+
+import (
+	"oxbowdeck/internal/controlapi"
+	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/paxos"
+)
+
+// releaseContact is how old a leader's contact with a majority may be to release learners.
+const releaseContact = ids.Millis(1000)
+
+// reportReleased tells control, again and again, which learners of a group may be let go. A
+// store that led the group before follows it until then: it hears who leads and reports the
+// ends of its attempts there.
+func (l *leaderDuties) reportReleased(now ids.Millis, core *paxos.Core, shard *controlapi.Shard) {
+	if age, certain := core.Contact(now); !certain || age > releaseContact {
+		return // another may lead by now, or not all is known that was begun before
+	}
+	epoch, _ := core.Leader()
+	report := controlapi.Released{Group: shard.Group, Epoch: epoch, At: shard.At}
+	for _, learner := range shard.Learners {
+		if !isMember(core, learner.Node) && !l.awaits(shard.Group, learner.Node, now) {
+			report.Learners = append(report.Learners, learner)
+		}
+	}
+	if len(report.Learners) > 0 {
+		l.control.Tell(controlapi.KindReleased, report)
+	}
+}
+
+// isMember tells whether a store has a vote in a membership that is in force, or is to be.
+func isMember(core *paxos.Core, node ids.Node) bool {
+	for _, membership := range core.Memberships() {
+		if paxos.ContainsNode(membership.Members, node) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaits tells whether something that a process began as the group's leader may be under way.
+func (l *leaderDuties) awaits(group ids.Group, node ids.Node, now ids.Millis) bool {
+	if node == l.self {
+		return true // it leads now
+	}
+	return l.queue != nil && l.queue.Awaits(group, node, now)
+}
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -118,6 +118,7 @@
 	d.newParts()
 	if set.Kind == settings.Queue {
 		d.queue = d.newDispatchHost() // bodies come deflated: the links need not do it again
+		d.duties.queue = d.queue
 	} else {
 		d.hub.Far = d.control.Far
 	}
