A leader that is full takes the ends of its predecessor's attempts

Callers saw messages run again after a success that a store had read in time, when the shard's leadership went to a store whose memory or disk is nearly full; an emptied store could not report its successes to such a leader either.

Cause: the leader's handler answered ErrFull to every request of another process while full, also to the ends of attempts. These take no room, and only who sent the attempt knows of them; a leader's own ends were not refused.

Changed: only ends pass while full; messages are refused as before.

--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/proposals"
@@ -52,7 +53,7 @@
 			if group == nil {
 				return paxos.ErrNotLeader
 			}
-			if h.Full() {
+			if h.Full() && !endsAttempts(request) {
 				return paxos.ErrFull
 			}
 			if err := group.Submit(request); err != nil {
@@ -64,6 +65,13 @@
 	}
 }
 
+// endsAttempts tells whether a request reports the ends of attempts. They take no room, and
+// only who sent the attempts knows of them.
+func endsAttempts(request paxos.Request) bool {
+	var command queue.Command
+	return codec.Unmarshal(request.Data, &command) == nil && command.Verb == queue.End
+}
+
 // Answer tells an edge what became of requests that it put to a group, and who leads the
 // group if any were turned away.
 func (h *Host) Answer(link *transport.Link, id ids.Group, answer proposals.Answer) {
