Soak: TWICE is judged, and planned work is played with nothing in trouble

Cause: the soak retired stores too, but only counted runs after a success, since troubles nearly always overlap in its plans and excuse them. It asked for the end of a retirement each 300 ms, where the platform removes a machine at once, and many retirements met a machine that was gone already.

An end is asked for each 15 ms. Places are counted among the machines that stand.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -169,9 +169,9 @@
 	return slices.Clone(d.machines[class])
 }
 
-// at gives the machine at a place.
+// at gives the machine at a place, counted among those that have not been taken away.
 func (d *deployment) at(class Class, place int) *machine {
-	list := d.machinesOf(class)
+	list := slices.DeleteFunc(d.machinesOf(class), (*machine).isGone)
 	return list[place%len(list)]
 }
 
@@ -215,6 +215,7 @@
 		return
 	}
 	d.history.violate("process", "%s ended by itself: %v", child.Name, child.Err())
+	d.history.calendar.begin()()
 	time.AfterFunc(tenth, func() { d.start(m) })
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -25,8 +25,9 @@
 
 // History is what all who use a deployment saw together.
 type History struct {
-	began time.Time
-	log   io.Writer
+	began    time.Time
+	log      io.Writer
+	calendar calendar
 
 	mu         sync.Mutex
 	violations []Violation
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// isGone tells whether a machine was removed for good.
+func (m *machine) isGone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gone
+}
+
 // name is the process's name now.
 func (m *machine) name() string {
 	m.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -96,6 +96,7 @@
 	Edges   int           `json:"edges"`   // in each zone
 	Queue   bool          `json:"queue"`   // messages over HTTP instead of topics
 	Tenants bool          `json:"tenants"` // clients bear keys, and are limited
+	Planned bool          `json:"planned"` // operators' work alone, and nothing in trouble
 }
 
 // Losses is how many disks may be lost at once.
@@ -180,6 +181,9 @@
 // are lost only as far as the deployment bears it: with every trouble of a disk's class, and
 // for catchUp after it, counted as a loss.
 func Draw(shape Shape) Plan {
+	if shape.Planned {
+		return drawPlanned(shape)
+	}
 	random := rand.New(rand.NewPCG(shape.Seed, 0x50a4))
 	kinds := slices.Clone(processTroubles)
 	if shape.Queue {
--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -18,12 +18,14 @@
 	queueAttempts = 200 // attempts that may fail: none is to be spent
 	queueHold     = 600 // seconds
 	queueSenders  = 10
-	queuePause    = 100 * time.Millisecond // mean
-	queueTries    = 4
-	queueTimeout  = 3 * time.Second
-	queueKeys     = 5 // sequences
-	queueDelay    = 1500 * time.Millisecond
-	queueLargest  = 12 << 10
+	// plannedSenders is the same where nothing is in trouble.
+	plannedSenders = 20
+	queuePause     = 100 * time.Millisecond // mean
+	queueTries     = 4
+	queueTimeout   = 3 * time.Second
+	queueKeys      = 5 // sequences
+	queueDelay     = 1500 * time.Millisecond
+	queueLargest   = 12 << 10
 )
 
 // queueConfiguration is a valid configuration of a queue.
@@ -63,12 +65,6 @@
 	seals               []string
 }
 
-// queueRun is one run at a worker.
-type queueRun struct {
-	message *queueMessage
-	began   time.Time
-}
-
 // QueueHistory is what senders and workers of a queue saw.
 type QueueHistory struct {
 	*History
@@ -125,7 +121,7 @@
 const earlyMost = 200 * time.Millisecond
 
 // begins judges a run that begins at a worker.
-func (h *QueueHistory) begins(id string, r *http.Request, body []byte) *queueRun {
+func (h *QueueHistory) begins(worker, id string, r *http.Request, body []byte) *queueRun {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m := h.messages[id]
@@ -135,7 +131,7 @@
 		}
 		return &queueRun{began: time.Now()}
 	}
-	run := &queueRun{message: m, began: time.Now()}
+	run := &queueRun{message: m, worker: worker, began: time.Now()}
 	h.count("runs")
 	if string(body) != m.body || r.RequestURI != m.path || r.Header.Get("X-Sequence-Key") != m.key {
 		h.violate("MIXED", "a worker gets %s with another body, path or key", id)
@@ -150,7 +146,7 @@
 		h.violate("ORDER", "message %s runs %v after it was sent, its delay is %v", id, run.began.Sub(m.sent), m.delay)
 	}
 	if !m.doneAt.IsZero() {
-		h.count("runs after a success")
+		h.count("runs after a success") // checkTwice judges them
 	}
 	h.checkSequence(m)
 	m.runs = append(m.runs, run)
@@ -307,6 +303,7 @@
 		open = still
 	}
 	h.tellAsked()
+	h.checkTwice()
 	slices.SortFunc(open, func(a, b *queueMessage) int { return a.sent.Compare(b.sent) })
 	for i, m := range open {
 		if i < 10 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -137,6 +137,7 @@
 		m := d.at(t.Class, t.Place)
 		time.AfterFunc(t.At, func() {
 			x.history.note("while it starts: %s", t)
+			defer x.history.calendar.begin()()
 			d.down(m, false)
 			m.mu.Lock()
 			d.notFirst(m)
@@ -188,7 +189,7 @@
 	}
 	using.Go(func() { a.run(stop, seed) })
 	if x.queue != nil {
-		for i := range queueSenders {
+		for i := range x.plan.Shape.senders() {
 			s := &sender{number: i, history: x.queue, fronts: fronts, random: rand.New(rand.NewPCG(seed, uint64(i)))}
 			if x.plan.Shape.Tenants {
 				s.tenant = tenantOfClient(i)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,6 +89,39 @@
 	}
 }
 
+// plannedWorkPlan is work of operators that overlaps: stores are emptied while one restarts, a
+// control process restarts and settings change.
+var plannedWorkPlan = []Trouble{
+	{At: second, For: tenth, Kind: Retire, Class: Store, Place: 0},
+	{At: 2 * second, For: second, Kind: Terminate, Class: Core, Place: 0},
+	{At: 3 * second, For: second, Kind: Terminate, Class: Store, Place: 1},
+	{At: 4 * second, For: tenth, Kind: Retire, Class: Store, Place: 1},
+	{At: 5 * second, For: tenth, Kind: Hangup, Class: Store, Place: 0},
+	{At: 6 * second, For: tenth, Kind: Retire, Class: Store, Place: 0},
+}
+
+// TestShortSoakOfPlannedWork guards against messages that run again after a success, and orders
+// that come to no end, while operators work on a queue and nothing is in trouble.
+func TestShortSoakOfPlannedWork(t *testing.T) {
+	if err := buildPrograms(); err != nil {
+		t.Fatal(err)
+	}
+	shape := Shape{Seed: 1, For: 7 * second, Zones: 3, Edges: 1, Queue: true, Planned: true}
+	report, err := Run(t.Context(), Config{
+		Dir: t.TempDir(), Programs: programsDir, Shape: shape, Plan: &Plan{Shape: shape, Troubles: plannedWorkPlan},
+		Net: 200 + os.Getpid()%50, Port: 24200, Output: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if c := report.Counts; c["runs"] < 500 || c["stores retired"] != 3 {
+		t.Errorf("too little happened: %v", c)
+	}
+}
+
 // TestPlansAreDrawnFromTheSeed: one seed gives one plan, another another; a plan is read as it
 // was written; no plan loses more disks than are borne.
 func TestPlansAreDrawnFromTheSeed(t *testing.T) {
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -34,6 +34,9 @@
 		all.Go(func() {
 			x.history.note("trouble %s", t)
 			x.history.count("trouble " + string(t.Kind))
+			if !plannedWork[t.Kind] {
+				defer x.history.calendar.begin()()
+			}
 			x.bring(t)
 			x.history.note("over    %s", t)
 		})
@@ -291,10 +294,12 @@
 	}
 }
 
-// How long a store is given to be emptied, and how often that is asked.
+// How long a store is given to be emptied, how often that is ordered until the order is taken,
+// and how often it is asked: the platform removes a machine at once.
 const (
 	retireTimeout = 60 * time.Second
-	retirePoll    = 300 * time.Millisecond
+	retireAgain   = 300 * time.Millisecond
+	retirePoll    = 15 * time.Millisecond
 )
 
 // retire adds a store, has another emptied, and takes it away once that is done. One that is
@@ -304,9 +309,14 @@
 	d.add(Store, m.zone)
 	time.Sleep(t.For)
 	name := m.name()
+	ordered := time.Time{}
 	for end := time.Now().Add(retireTimeout); time.Now().Before(end); time.Sleep(retirePoll) {
-		if m.name() != name {
-			return // it was replaced meanwhile
+		if m.name() != name || m.isGone() {
+			return // it was replaced or taken away meanwhile
+		}
+		if time.Since(ordered) >= retireAgain { // an order may be repeated
+			ordered = time.Now()
+			x.orderRetirement(name)
 		}
 		if !x.retired(name) {
 			continue
@@ -319,16 +329,24 @@
 		return
 	}
 	x.history.count("stores not retired in time")
+	if d.config.Shape.Planned {
+		x.history.violate("RETIRE", "%s is not emptied within %v, though nothing is in trouble", name, retireTimeout)
+	}
+}
+
+// orderRetirement orders a retirement at one control process or another.
+func (x *director) orderRetirement(name string) {
+	call(http.MethodPost, x.retirement(name), nil, []byte(`{"ramp_s":1}`))
 }
 
-// retired orders a retirement and tells whether it is completed.
+// retired asks one control process or another whether a retirement is completed.
 func (x *director) retired(name string) bool {
-	address := x.deployment.controlAddresses()
-	url := "http://" + address[rand.IntN(len(address))] + "/v1/retire/" + name
-	answer := call(http.MethodPost, url, nil, []byte(`{"ramp_s":1}`))
-	if answer.status != http.StatusOK {
-		return false
-	}
-	answer = call(http.MethodGet, url, nil, nil)
+	answer := call(http.MethodGet, x.retirement(name), nil, nil)
 	return answer.status == http.StatusOK && answer.has(`"completed"`)
 }
+
+// retirement is where a retirement is ordered and asked for.
+func (x *director) retirement(name string) string {
+	address := x.deployment.controlAddresses()
+	return "http://" + address[rand.IntN(len(address))] + "/v1/retire/" + name
+}
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -21,13 +21,15 @@
 
 	workerSlots     = 8
 	workerHeartbeat = 300 * time.Millisecond
-	workTime        = 8 * time.Millisecond
+	workTime        = 8 * time.Millisecond  // mean
+	plannedWorkTime = 30 * time.Millisecond // the same where nothing is in trouble: more is under way
 )
 
 // workerFleet is the workers of a deployment.
 type workerFleet struct {
 	deployment *deployment
 	history    *QueueHistory
+	workTime   time.Duration // mean
 
 	mu      sync.Mutex
 	workers []*worker
@@ -49,7 +51,11 @@
 }
 
 func newWorkerFleet(d *deployment, history *QueueHistory) *workerFleet {
-	return &workerFleet{deployment: d, history: history, done: map[string]string{}}
+	f := &workerFleet{deployment: d, history: history, workTime: workTime, done: map[string]string{}}
+	if d.config.Shape.Planned {
+		f.workTime = plannedWorkTime
+	}
+	return f
 }
 
 // start starts all workers.
@@ -78,8 +84,10 @@
 		address: listener.Addr().String(), quit: make(chan struct{}),
 	}
 	w.mode.Store(Kind(""))
-	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second}
-	go w.server.Serve(listener)
+	w.server = &http.Server{
+		Handler: w, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, ConnContext: withConnection,
+	}
+	go w.server.Serve(workerListener{listener})
 	go w.heartbeats()
 	f.workers = append(f.workers, w)
 	return nil
@@ -202,7 +210,8 @@
 	if w.service == lockService && w.repeated(rw, attempt) {
 		return
 	}
-	run := w.fleet.history.begins(attempt, r, body)
+	run := w.fleet.history.begins(w.id, attempt, r, body)
+	watchAnswer(r.Context(), run)
 	mode := w.mode.Load().(Kind)
 	w.work(mode, r)
 	w.answer(rw, attempt, mode, run)
@@ -240,7 +249,7 @@
 	case WorkerLate:
 		time.Sleep(queueGuard + time.Duration(rand.Int64N(int64(300*time.Millisecond))))
 	default:
-		time.Sleep(time.Duration(rand.Int64N(int64(2 * workTime))))
+		time.Sleep(time.Duration(rand.Int64N(int64(2 * w.fleet.workTime))))
 	}
 }
 
@@ -267,6 +276,7 @@
 		whole := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + seal + "\r\nContent-Length: 0\r\n\r\n"
 		w.raw(rw, whole+whole)
 	default:
+		run.succeeds()
 		rw.Header().Set("X-Server-Seal", seal)
 		rw.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d", workerSlots))
 		rw.WriteHeader(http.StatusOK)
