Soak: a service's limit, budgets, and messages that an edge does not know are judged

Cause: no judge of CEILING of a service with rate_per_s, of BUDGET, and of LOST by 404 or 410.

Changed: a service with a limit, with arrivals counted in the fullest window; messages that fail at each run or are refused for good, with the answers counted; an asker that asks any edge after accepted messages all the while. BUDGET and 404 are judged where nothing unplanned was in trouble for 4 s. The sender of messages has a file of its own. An orderly end that gives attempts up is logged (attempts-abandoned).

Measured: each judge is shown in both directions (TestArrivalsBite, TestBudgetBites, TestAskerBites).

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -129,14 +129,14 @@
 	}
 }
 
-// Idle tells whether nothing is under way from this process.
-func (h *Host) Idle() bool {
+// UnderWay counts the attempts that this process began, or is about to, and the ends of attempts
+// that are not known to be decided.
+func (h *Host) UnderWay() (attempts, ends int) {
 	for _, shard := range h.shards {
-		if !shard.idle() {
-			return false
-		}
+		attempts += len(shard.reservations)
+		ends += len(shard.ends)
 	}
-	return true
+	return attempts, ends
 }
 
 // request makes a request of a command.
--- a/internal/dispatch/open_attempts.go
+++ b/internal/dispatch/open_attempts.go
@@ -18,11 +18,10 @@
 	}
 }
 
-// ended takes the decision of an end. That of an earlier attempt than the one under way says
-// nothing of this one.
+// ended takes the decision of an end. One that took no effect is of an earlier attempt than the
+// one under way, and says nothing of that.
 func (o openAttempts) ended(event queue.Event) {
-	row := event.Row
-	if row == nil || !row.Running || event.OK && event.Attempt.Number == row.Attempts {
+	if event.Row == nil || !event.Row.Running || event.OK {
 		delete(o, event.Attempt.Pos)
 	}
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -155,6 +155,3 @@
 		}
 	}
 }
-
-// idle tells whether nothing is under way from here.
-func (s *Shard) idle() bool { return len(s.reservations) == 0 && len(s.ends) == 0 }
--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -35,20 +35,29 @@
 		accounts = tenantAccounts()
 	}
 	route := func(label, path, service string, level int, sequence bool) string {
+		attempts := queueAttempts
+		if path == failingPath {
+			attempts = failingAttempts
+		}
 		return fmt.Sprintf(`{"label":"%s","host_id":%q,"path_prefix":%q,"route_class":"deferred","guard_timer_ms":%d,`+
 			`"target_ms":150,"prio_level":%d,"service_ref":%q,"max_attempts":%d,"in_sequence":%v,"hold_s":%d}`,
-			label, queueHost, path, queueGuard.Milliseconds(), level, service, queueAttempts, sequence, queueHold)
+			label, queueHost, path, queueGuard.Milliseconds(), level, service, attempts, sequence, queueHold)
 	}
-	return fmt.Sprintf(`{"config_release":%d,"routing_entries":[%s,%s,%s,%s],
-"service_set":[{"label":"stock","conn_limit":40,"rate_per_s":0,"fixed_endpoint":null},
-{"label":"lock","conn_limit":40,"dedup_capable":true,"fixed_endpoint":null}],
-"limits":{"header_max_bytes":16384,"body_max_bytes":65536,"header_timer_ms":3000,"idle_timer_ms":%d}%s}`,
-		release,
+	routes := []string{
 		route("stock", "/stock/", stockService, 2, false),
 		route("lock", "/lock/", lockService, 1, true),
+		route("metered", "/metered/", meteredService, 2, false),
+		route("failing", failingPath, stockService, 2, false),
+		route("refused", refusedPath, stockService, 2, false),
 		route("abuse", "/abuse/", stockService, 2, false),
-		route(mark, fmt.Sprintf("/extra%d/", release), stockService, 2, false),
-		15000+guard, accounts)
+		route(mark, fmt.Sprintf("/extra%d/", release), stockService, 2, false), // the last: operators read its label
+	}
+	return fmt.Sprintf(`{"config_release":%d,"routing_entries":[%s],
+"service_set":[{"label":"stock","conn_limit":40,"rate_per_s":0,"fixed_endpoint":null},
+{"label":"metered","conn_limit":40,"rate_per_s":%d,"fixed_endpoint":null},
+{"label":"lock","conn_limit":40,"dedup_capable":true,"fixed_endpoint":null}],
+"limits":{"header_max_bytes":16384,"body_max_bytes":65536,"header_timer_ms":3000,"idle_timer_ms":%d}%s}`,
+		release, strings.Join(routes, ","), meteredRate, 15000+guard, accounts)
 }
 
 // queueMessage is one try of a sender: each has an id of its own.
@@ -62,6 +71,8 @@
 	promised            bool      // it was told that it never runs
 	runs                []*queueRun
 	doneAt              time.Time // a worker answered with success
+	hopelessAt          time.Time // it ended since it can't be done
+	failed, refused     int       // answers that a run failed, or that it can't be done
 	seals               []string
 }
 
@@ -74,6 +85,8 @@
 	keys     map[string][]*queueMessage // accepted, by sequence
 	took     []time.Duration            // from the sending of a message to its 202
 	asked    map[int][]time.Duration    // to what is told of a message, by the answer's status
+	accepts  []*queueMessage            // in the order they were accepted
+	arrivals []time.Time                // at the metered service
 }
 
 func newQueueHistory(h *History) *QueueHistory {
@@ -97,6 +110,7 @@
 	defer h.mu.Unlock()
 	m.acceptedAt, m.name = time.Now(), name
 	h.took = append(h.took, m.acceptedAt.Sub(m.sent))
+	h.accepts = append(h.accepts, m)
 	if m.name == "" {
 		m.name = m.id
 	}
@@ -149,6 +163,7 @@
 		h.count("runs after a success") // checkTwice judges them
 	}
 	h.checkSequence(m)
+	h.checkBudget(m)
 	m.runs = append(m.runs, run)
 	return run
 }
@@ -185,79 +200,6 @@
 	h.count("runs that failed")
 }
 
-// sender hands messages in.
-type sender struct {
-	number  int
-	tenant  tenant // the zero value: no keys are needed
-	history *QueueHistory
-	fronts  func() []string
-	random  *rand.Rand
-	sent    int
-}
-
-// run hands messages in until stop is closed.
-func (s *sender) run(stop chan struct{}) { atRandom(stop, s.random, queuePause, s.message) }
-
-// message hands one message in: each try after a promise is another one.
-func (s *sender) message() {
-	path, key := "/stock/1", ""
-	if s.random.IntN(2) == 0 {
-		path, key = "/lock/1", fmt.Sprintf("key-%d", s.random.IntN(queueKeys))
-	}
-	var delay time.Duration
-	if s.random.IntN(10) == 0 {
-		delay = queueDelay
-	}
-	length := 20 + s.random.IntN(400)
-	if s.random.IntN(20) == 0 {
-		length = queueLargest
-	}
-	body := strings.Repeat(fmt.Sprintf("%x.", s.random.Uint64()), length/17+1)
-	for range queueTries {
-		s.sent++
-		m := &queueMessage{
-			id: fmt.Sprintf("m%d-%d-%x", s.number, s.sent, s.random.Uint32()), path: path, key: key, body: body,
-			tenant: s.tenant.label, delay: delay, sent: time.Now(),
-		}
-		if !s.try(m) {
-			return
-		}
-		time.Sleep(time.Duration(s.random.Int64N(int64(2 * tenth))))
-	}
-}
-
-// try hands one try in, and tells whether to come again.
-func (s *sender) try(m *queueMessage) (again bool) {
-	s.history.sending(m)
-	header := map[string]string{"Host": queueHost, "X-Attempt-Id": m.id}
-	if m.key != "" {
-		header["X-Sequence-Key"] = m.key
-	}
-	if m.delay > 0 {
-		header["X-Defer-Ms"] = fmt.Sprint(m.delay.Milliseconds())
-	}
-	if s.tenant.key != "" {
-		header["X-Api-Key"] = s.tenant.key
-	}
-	fronts := s.fronts()
-	answer := callFor(queueTimeout, http.MethodPost, "http://"+fronts[s.random.IntN(len(fronts))]+m.path, header, []byte(m.body))
-	s.history.count(fmt.Sprintf("messages answered %d", answer.status))
-	switch answer.status {
-	case http.StatusAccepted:
-		s.history.accepted(m, answer.header.Get("X-Message-Id"))
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		s.history.promise(m, answer.status)
-		if answer.header.Get("Retry-After") == "" {
-			s.history.violate("RETURN", "%d without Retry-After", answer.status)
-		}
-		return true
-	case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
-	default:
-		s.history.violate("CONFIG", "a message on %s is answered %d: %s", m.path, answer.status, answer.body)
-	}
-	return false
-}
-
 // How the end of a queue's messages is awaited.
 const (
 	completeTimeout = 60 * time.Second
@@ -294,7 +236,7 @@
 				state := h.state(m, fronts(), keyOf(m.tenant))
 				mu.Lock()
 				defer mu.Unlock()
-				if last[m.id] = state; state != "completed" {
+				if last[m.id] = state; state != m.wantedState() {
 					still = append(still, m)
 				}
 			})
@@ -304,6 +246,7 @@
 	}
 	h.tellAsked()
 	h.checkTwice()
+	h.checkArrivals()
 	slices.SortFunc(open, func(a, b *queueMessage) int { return a.sent.Compare(b.sent) })
 	for i, m := range open {
 		if i < 10 {
@@ -321,7 +264,11 @@
 func (h *QueueHistory) forgotten(m *queueMessage) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !m.doneAt.IsZero() && time.Since(m.doneAt) > reportTime
+	at := m.doneAt
+	if at.IsZero() {
+		at = m.hopelessAt
+	}
+	return !at.IsZero() && time.Since(at) > reportTime
 }
 
 // noteAsked notes how long it took to be told of a message.
@@ -351,7 +298,7 @@
 	answer := callFor(stateTimeout, http.MethodGet, "http://"+front+"/v1/message/"+m.name, header, nil)
 	h.noteAsked(answer.status, time.Since(began))
 	if answer.status == http.StatusNotFound && h.forgotten(m) {
-		return "completed"
+		return m.wantedState()
 	}
 	if answer.status != http.StatusOK {
 		return fmt.Sprint(answer.status)
@@ -368,7 +315,7 @@
 	switch {
 	case x.State == "completed" && !slices.Contains(m.seals, x.Seal):
 		h.violate("MIXED", "message %s is completed with seal %q, which no run of it gave", m.id, x.Seal)
-	case x.State == "undeliverable" && m.doneAt.IsZero():
+	case x.State == "undeliverable" && !m.ended():
 		h.violate("LOST", "message %s is undeliverable, which has not ended", m.id)
 	}
 	return x.State
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -17,6 +17,9 @@
 	if shape.Tenants {
 		kind += " with tenants"
 	}
+	if shape.Planned {
+		kind += ", planned work alone"
+	}
 	fmt.Fprintf(out, "seed=%d kind=%q zones=%d troubles=%d took=%.0fs violations=%d\n",
 		shape.Seed, kind, shape.Zones, len(r.Plan.Troubles), r.Took.Seconds(), len(r.Violations))
 	printCounts(out, r.Counts)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -189,6 +189,8 @@
 	}
 	using.Go(func() { a.run(stop, seed) })
 	if x.queue != nil {
+		asks := &asker{history: x.queue, fronts: fronts, keyOf: keyOfTenant}
+		using.Go(func() { asks.run(stop, seed) })
 		for i := range x.plan.Shape.senders() {
 			s := &sender{number: i, history: x.queue, fronts: fronts, random: rand.New(rand.NewPCG(seed, uint64(i)))}
 			if x.plan.Shape.Tenants {
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -60,7 +60,7 @@
 
 // start starts all workers.
 func (f *workerFleet) start() error {
-	for _, service := range []string{stockService, lockService} {
+	for _, service := range []string{stockService, lockService, meteredService} {
 		for range workersEach {
 			if err := f.add(service); err != nil {
 				return err
@@ -202,6 +202,7 @@
 	if err != nil {
 		return
 	}
+	w.fleet.history.arrives(w.service)
 	if to := r.Header.Get("X-Intended-Instance"); to != "" && to != w.id {
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -213,6 +214,12 @@
 	run := w.fleet.history.begins(w.id, attempt, r, body)
 	watchAnswer(r.Context(), run)
 	mode := w.mode.Load().(Kind)
+	if status := hopelessAnswer(r.RequestURI); status != 0 && mode != WorkerHang {
+		w.work("", r)
+		w.fleet.history.answersHopeless(run, status)
+		rw.WriteHeader(status)
+		return
+	}
 	w.work(mode, r)
 	w.answer(rw, attempt, mode, run)
 }
--- a/internal/store/released.go
+++ b/internal/store/released.go
@@ -13,19 +13,33 @@
 // store that led the group before follows it until then: it hears who leads and reports the
 // ends of its attempts there.
 func (l *leaderDuties) reportReleased(now ids.Millis, core *paxos.Core, shard *controlapi.Shard) {
-	if age, certain := core.Contact(now); !certain || age > releaseContact {
-		return // another may lead by now, or not all is known that was begun before
+	learners := l.releasable(now, core, shard)
+	if len(learners) == 0 {
+		return
 	}
 	epoch, _ := core.Leader()
-	report := controlapi.Released{Group: shard.Group, Epoch: epoch, At: shard.At}
+	l.control.Tell(controlapi.KindReleased, controlapi.Released{
+		Group:    shard.Group,
+		Epoch:    epoch,
+		At:       shard.At,
+		Learners: learners,
+	})
+}
+
+// releasable gives the learners of a group that is led here that may be let go. A leader
+// without lately having been in touch with a majority can't tell: another may lead by now, and
+// it may not know all that was begun before.
+func (l *leaderDuties) releasable(now ids.Millis, core *paxos.Core, shard *controlapi.Shard) []paxos.Member {
+	if age, certain := core.Contact(now); !certain || age > releaseContact {
+		return nil
+	}
+	var released []paxos.Member
 	for _, learner := range shard.Learners {
 		if !isMember(core, learner.Node) && !l.awaits(shard.Group, learner.Node, now) {
-			report.Learners = append(report.Learners, learner)
+			released = append(released, learner)
 		}
 	}
-	if len(report.Learners) > 0 {
-		l.control.Tell(controlapi.KindReleased, report)
-	}
+	return released
 }
 
 // isMember tells whether a store has a vote in a membership that is in force, or is to be.
--- a/internal/store/stop.go
+++ b/internal/store/stop.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"log/slog"
 	"time"
 
 	"oxbowdeck/internal/settings"
@@ -56,16 +57,30 @@
 		return
 	}
 	until := time.Now().Add(time.Duration(d.settings.DrainMs) * time.Millisecond / 2)
-	for time.Now().Before(until) {
-		idle := make(chan bool, 1)
-		d.actor.Do(func() { idle <- d.queue.Idle() })
-		if <-idle {
+	for {
+		attempts, ends := d.attemptsUnderWay()
+		if attempts+ends == 0 {
+			return
+		}
+		if time.Now().After(until) {
+			slog.Warn("attempts-abandoned", "attempts", attempts, "ends", ends)
 			return
 		}
 		time.Sleep(attemptPoll)
 	}
 }
 
+// attemptsUnderWay counts the attempts under way, and the ends that are not decided.
+func (d *Daemon) attemptsUnderWay() (attempts, ends int) {
+	counted := make(chan struct{})
+	d.actor.Do(func() {
+		attempts, ends = d.queue.UnderWay()
+		close(counted)
+	})
+	<-counted
+	return attempts, ends
+}
+
 // Reload takes over what may change in a running process: whom to ask.
 func (d *Daemon) Reload(set *settings.Settings) {
 	d.actor.Do(func() { d.control.Seeds = settings.ControlNodes(set) })
