--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -28,14 +28,6 @@
 // maxStuckLearners bounds the learners of a shard that are waited for no longer.
 const maxStuckLearners = 2
 
-// A store's load counts a vote as two and a learner as one. A vote moves to a less
-// loaded store only where the difference outlives the move.
-const (
-	voterLoad       = 2
-	learnerLoad     = 1
-	minLoadToMoveBy = 4
-)
-
 // Moves gives the next change of each shard's placement, at most one a shard,
 // from what its leader reported. Every change is of one replica: a store follows
 // first, and becomes a voter only once the leader calls it caught up.
@@ -84,20 +76,6 @@
 	return s.coverZones(sh, r, load)
 }
 
-// loads gives each store's load.
-func (s *State) loads() map[ids.Node]int {
-	load := map[ids.Node]int{}
-	for _, sh := range s.Shards {
-		for _, m := range sh.Voters {
-			load[m.Node] += voterLoad
-		}
-		for _, m := range sh.Learners {
-			load[m.Node] += learnerLoad
-		}
-	}
-	return load
-}
-
 // usable gives a store that can be given replicas.
 func (s *State) usable(a ids.Node) *controlapi.Node {
 	n := s.find(a)
@@ -241,120 +219,3 @@
 		)
 	})
 }
-
-// coverZones sees to it that each zone with stores has one live replica, and
-// lets go of learners that serve nothing, once their leader releases them.
-func (s *State) coverZones(sh *controlapi.Shard, r Report, load map[ids.Node]int) (Command, bool) {
-	if n := s.uncoveredZone(sh, load); n != nil {
-		load[n.Addr] += learnerLoad
-		return follow(sh, n), true
-	}
-	settled := len(r.Silent) == 0 && paxos.SameMembers(sh.Members, sh.Voters)
-	for _, m := range sh.Voters {
-		if o := s.find(m.Node); o != nil && o.Empty {
-			settled = false // a learner is on its way to replace it
-		}
-	}
-	for _, m := range sh.Learners {
-		o := s.find(m.Node)
-		useless := o == nil || o.Gone || o.Empty ||
-			settled && !s.tooFewVoters(sh) && s.spare(sh, o) && !s.isRelieving(sh, o, load)
-		if useless && r.mayDrop(m, o) {
-			return Command{Verb: Drop, Group: sh.Group, To: m}, true
-		}
-	}
-	return Command{}, false
-}
-
-// uncoveredZone gives a store of the first zone that has stores and no live replica.
-func (s *State) uncoveredZone(sh *controlapi.Shard, load map[ids.Node]int) *controlapi.Node {
-	covered := map[ids.Zone]bool{}
-	for _, list := range [][]paxos.Member{sh.Voters, sh.Learners} {
-		for _, m := range list {
-			if o := s.usable(m.Node); o != nil {
-				covered[o.Zone] = true
-			}
-		}
-	}
-	var zone ids.Zone
-	var stores []*controlapi.Node
-	for i := range s.Nodes {
-		n := &s.Nodes[i]
-		if n.Role != controlapi.Store || s.usable(n.Addr) == nil || covered[n.Zone] {
-			continue
-		}
-		if len(stores) > 0 && n.Zone > zone {
-			continue
-		}
-		if n.Zone != zone {
-			stores = nil
-		}
-		zone = n.Zone
-		stores = append(stores, n)
-	}
-	return nearest(stores, zone, nil, load)
-}
-
-// isRelieving tells whether a learner is about to take a vote off a store that
-// has more.
-func (s *State) isRelieving(sh *controlapi.Shard, n *controlapi.Node, load map[ids.Node]int) bool {
-	_, ok := s.overloadedMember(sh, n, load)
-	return ok
-}
-
-// overloadedMember gives the member whose vote a less loaded store of its zone would
-// take.
-func (s *State) overloadedMember(
-	sh *controlapi.Shard, n *controlapi.Node, load map[ids.Node]int,
-) (member paxos.Member, ok bool) {
-	mine := load[n.Addr]
-	if paxos.ContainsNode(sh.Learners, n.Addr) {
-		mine -= learnerLoad
-	}
-	most := 0
-	for _, m := range sh.Voters {
-		o := s.usable(m.Node)
-		if o == nil || o.Zone != n.Zone || load[m.Node]-mine < minLoadToMoveBy {
-			continue
-		}
-		if load[m.Node] > most {
-			most, member, ok = load[m.Node], m, true
-		}
-	}
-	return member, ok
-}
-
-// balance moves one vote at a time onto a store that has few.
-func (s *State) balance(reports map[ids.Group]Report, load map[ids.Node]int) (Command, bool) {
-	for i := range s.Shards {
-		sh := &s.Shards[i]
-		for _, m := range sh.Learners {
-			n := s.usable(m.Node)
-			if n == nil || !s.spare(sh, n) {
-				continue
-			}
-			from, ok := s.overloadedMember(sh, n, load)
-			if !ok {
-				continue
-			}
-			if index(reports[sh.Group].Ready, m) < 0 {
-				return Command{}, false // it is on its way
-			}
-			return promote(sh, from, m), true
-		}
-	}
-	for i := range s.Shards {
-		sh := &s.Shards[i]
-		var free []*controlapi.Node
-		for k := range s.Nodes {
-			n := &s.Nodes[k]
-			if s.outside(sh, n) && s.isRelieving(sh, n, load) {
-				free = append(free, n)
-			}
-		}
-		if n := nearest(free, "", nil, load); n != nil {
-			return follow(sh, n), true
-		}
-	}
-	return Command{}, false
-}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -4,7 +4,8 @@
 //
 // The state machine, which gives the same from the same log on every replica: state.go,
 // command.go, nodes.go, shards.go, configuration.go, retire.go, session.go, workers.go,
-// format.go; and what is computed from it: place.go, moves.go, members.go, plan.go.
+// format.go; and what is computed from it: place.go, moves.go with zone_cover.go and
+// balance.go, members.go, plan.go.
 //
 // The node, without sockets, clock and disk: control.go, commands.go, enroll.go,
 // reports.go, leader.go, worker_heartbeats.go, status.go.
--- a/internal/paxos/core.go
+++ b/internal/paxos/core.go
@@ -242,7 +242,7 @@
 		for _, k := range c.leading.unanswered {
 			for _, o := range k.accepts {
 				if !o.retransmitted {
-					w = min(w, o.at+k.electionTimeout(c.conf.RetransmitTimeout))
+					w = min(w, o.at+k.retransmitAfter(c.conf.RetransmitTimeout))
 					break
 				}
 			}
