--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// noRoutePath is under no route of any configuration.
+const noRoutePath = "/no-route/1"
+
 // earlyMost is how much earlier than its delay says a message may run.
 const earlyMost = 200 * time.Millisecond
 
@@ -153,6 +156,9 @@
 	if m.tenant != "" && r.Header.Get("X-Tenant") != m.tenant {
 		h.violate("MIXED", "a worker gets %s as of tenant %q", id, r.Header.Get("X-Tenant"))
 	}
+	if m.path == noRoutePath {
+		h.violate("ROUTE", "message %s runs, for which there was never a route", id)
+	}
 	if m.promised {
 		h.violate("REFUSED", "message %s runs, which was told that it never does", id)
 	}
--- /dev/null
+++ b/internal/soak/quiet_subscriber.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"strings"
+	"time"
+)
+
+const (
+	// deliveryTime is how long after its acknowledgement a message reaches who stays subscribed.
+	deliveryTime = 4 * time.Second
+	// progressTime is how lately an older message has to have come to excuse one that has not.
+	progressTime = 2 * time.Second
+)
+
+// stay notes that a subscription began on a connection; the function it returns notes that the
+// connection ended.
+func (s *subscription) stay() (over func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &period{from: time.Now()}
+	s.stays = append(s.stays, p)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p.to = time.Now()
+	}
+}
+
+// staysFor tells whether one connection held a subscription from a time to another.
+func (s *subscription) staysFor(from, to time.Time) bool {
+	for _, p := range s.stays {
+		if !p.from.After(from) && !p.to.IsZero() && !p.to.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// late tells whether a subscriber that stayed got neither a message that it was owed in time, nor
+// lately an older one. Troubles excuse it. Locks of both histories are held.
+func (s *subscription) late(m *topicMessage) bool {
+	due := m.ackedAt.Add(deliveryTime)
+	owed := m.topic == s.topic && !m.ackedAt.IsZero() && !s.since.IsZero() && m.first.After(s.since)
+	if !owed || !s.staysFor(m.ackedAt, due) || !s.history.calendar.calm(contactTime, m.ackedAt, due) {
+		return false
+	}
+	if at, got := s.seen[m.body]; got && !at.After(due) {
+		return false
+	}
+	for body, at := range s.seen {
+		other := s.history.messages[body]
+		older := other != nil && other.first.Before(m.first)
+		if older && at.After(due.Add(-progressTime)) && !at.After(due) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkStays judges the subscribers that stayed on their connections.
+func (h *TopicHistory) checkStays() {
+	for _, s := range h.subscriptions {
+		if !strings.HasPrefix(s.topic, retainedPrefix) {
+			continue
+		}
+		s.mu.Lock()
+		h.mu.Lock()
+		for _, m := range h.messages {
+			if s.late(m) {
+				h.violate("LOST", "%s stayed on %s and did not get %s %d within %v of its acknowledgement",
+					s.client, s.topic, m.sender, m.ackedSeq, deliveryTime)
+			}
+		}
+		h.mu.Unlock()
+		s.mu.Unlock()
+	}
+}
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -117,3 +118,80 @@
 		}
 	}
 }
+
+// TestStaysBite: who stays subscribed gets what is acknowledged in time, unless older messages
+// still come or something is in trouble.
+func TestStaysBite(t *testing.T) {
+	const topic = retainedPrefix + "0"
+	start := time.Now().Add(-time.Minute)
+	for _, test := range []struct {
+		what    string
+		left    time.Duration // when the subscriber left, after the acknowledgement
+		got     time.Duration // when it came; 0: never
+		older   time.Duration // when an older message came; 0: none did
+		trouble bool
+		want    string
+	}{
+		{"it came", 10 * second, second, 0, false, ""},
+		{"it never came", 10 * second, 0, 0, false, "LOST"},
+		{"it came late", 10 * second, 5 * second, 0, false, "LOST"},
+		{"older ones still came", 10 * second, 5 * second, 3 * second, false, ""},
+		{"an older one came, and then nothing", 10 * second, 5 * second, second, false, "LOST"},
+		{"the subscriber left", 3 * second, 0, 0, false, ""},
+		{"something was in trouble", 10 * second, 0, 0, true, ""},
+	} {
+		h := newTopicHistory(newHistory(io.Discard))
+		if test.trouble {
+			h.calendar.periods = []*period{{from: start, to: start.Add(second)}}
+		}
+		acked := start.Add(second)
+		s := h.subscription("c", topic)
+		s.since = start
+		s.stays = []*period{{from: start, to: acked.Add(test.left)}}
+		h.messages["m"] = &topicMessage{topic: topic, body: "m", first: acked.Add(-tenth), ackedAt: acked}
+		h.messages["older"] = &topicMessage{topic: topic, body: "older", first: start.Add(tenth)}
+		if test.got > 0 {
+			s.seen["m"] = acked.Add(test.got)
+		}
+		if test.older > 0 {
+			s.seen["older"] = acked.Add(test.older)
+		}
+		h.checkStays()
+		var rules []string
+		for _, v := range h.Violations() {
+			rules = append(rules, v.Rule)
+		}
+		if got := strings.Join(rules, " "); got != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, got, test.want)
+		}
+	}
+}
+
+// TestRouteBites: a message for which there was never a route is not accepted, and does not run;
+// one that has a route is not answered 404.
+func TestRouteBites(t *testing.T) {
+	for _, test := range []struct {
+		what   string
+		path   string
+		status int
+		want   string
+	}{
+		{"no route, unknown", noRoutePath, http.StatusNotFound, ""},
+		{"no route, accepted", noRoutePath, http.StatusAccepted, "ROUTE"},
+		{"a route, unknown", "/stock/1", http.StatusNotFound, "ROUTE"},
+		{"a route, accepted", "/stock/1", http.StatusAccepted, ""},
+	} {
+		h := newQueueHistory(newHistory(io.Discard))
+		front := edgeThatAnswers(t, test.status, "")
+		s := &sender{history: h, fronts: func() []string { return []string{front} }, random: rand.New(rand.NewPCG(1, 1))}
+		s.try(&queueMessage{id: "m", path: test.path, sent: time.Now()})
+		if rulesOf(h) != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h), test.want)
+		}
+	}
+	h := newQueueHistory(newHistory(io.Discard))
+	h.sending(&queueMessage{id: "m", path: noRoutePath, sent: time.Now()})
+	if h.begins("w", "m", httptest.NewRequest(http.MethodPost, noRoutePath, nil), nil); rulesOf(h) != "ROUTE" {
+		t.Errorf("a run without a route violates %q", rulesOf(h))
+	}
+}
--- a/internal/soak/sender.go
+++ b/internal/soak/sender.go
@@ -49,6 +49,8 @@
 // destination draws the path of a message, and the sequence that it stands in.
 func (s *sender) destination() (path, key string) {
 	switch {
+	case s.random.IntN(hopelessPart) == 0:
+		return noRoutePath, ""
 	case s.random.IntN(meteredShare) == 0:
 		return "/metered/1", ""
 	case s.random.IntN(hopelessPart) == 0:
@@ -78,7 +80,14 @@
 	answer := callFor(queueTimeout, http.MethodPost, "http://"+fronts[s.random.IntN(len(fronts))]+m.path, header, []byte(m.body))
 	s.history.count(fmt.Sprintf("messages answered %d", answer.status))
 	switch answer.status {
+	case http.StatusNotFound:
+		if m.path != noRoutePath {
+			s.history.violate("ROUTE", "a message on %s is answered 404", m.path)
+		}
 	case http.StatusAccepted:
+		if m.path == noRoutePath {
+			s.history.violate("ROUTE", "message %s is accepted, for which there was never a route", m.id)
+		}
 		s.history.accepted(m, answer.header.Get("X-Message-Id"))
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		s.history.promise(m, answer.status)
--- a/internal/soak/topic_history.go
+++ b/internal/soak/topic_history.go
@@ -101,11 +101,12 @@
 	topic   string
 
 	mu       sync.Mutex
-	place    string    // the cursor of the last message, or of the first answer
-	since    time.Time // its first answer; zero: none yet
-	lastAt   time.Time // when something last came over it
-	seen     map[string]bool
-	highest  map[string]uint64 // by sender
+	place    string               // the cursor of the last message, or of the first answer
+	since    time.Time            // its first answer; zero: none yet
+	lastAt   time.Time            // when something last came over it
+	seen     map[string]time.Time // bodies that came, and when
+	stays    []*period            // connections that it was held on
+	highest  map[string]uint64    // by sender
 	received int
 }
 
@@ -113,7 +114,7 @@
 func (h *TopicHistory) subscription(client, topic string) *subscription {
 	s := &subscription{
 		history: h, client: client, topic: topic,
-		seen: map[string]bool{}, highest: map[string]uint64{},
+		seen: map[string]time.Time{}, highest: map[string]uint64{},
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -190,12 +191,12 @@
 	defer s.mu.Unlock()
 	s.place, s.lastAt = cursor, time.Now()
 	s.received++
-	if s.seen[body] {
+	if _, again := s.seen[body]; again {
 		h.violate("ORDER", "%s gets %s %d on %s twice", s.client, sender, seq, s.topic)
 	} else if seq <= s.highest[sender] {
 		h.violate("ORDER", "%s gets %s %d on %s after %d", s.client, sender, seq, s.topic, s.highest[sender])
 	}
-	s.seen[body] = true
+	s.seen[body] = s.lastAt
 	s.highest[sender] = max(s.highest[sender], seq)
 	h.count("deliveries")
 }
@@ -211,7 +212,7 @@
 	defer s.history.mu.Unlock()
 	for _, m := range s.history.messages {
 		owed := m.topic == s.topic && !m.ackedAt.IsZero() && !s.since.IsZero() && m.first.After(s.since)
-		if owed && !s.seen[m.body] {
+		if _, got := s.seen[m.body]; owed && !got {
 			missing = append(missing, m)
 		}
 	}
@@ -242,6 +243,7 @@
 			h.note("%s got nothing on %s", s.client, s.topic)
 		}
 	}
+	h.checkStays()
 	h.checkQuotas()
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/topics.go
+++ b/internal/soak/topics.go
@@ -101,6 +101,7 @@
 	ends   time.Time // when the client leaves of its own will
 
 	subscribed map[string]bool
+	overs      []func()        // what is to be told when the connection ends
 	asked      map[string]bool // topics whose subscribers were asked for
 	attached   bool
 	sentAt     time.Time // of the publish that waits for its answer
@@ -132,16 +133,26 @@
 	for _, topic := range c.topics {
 		c.subscriptions[topic].newConnection(strings.HasPrefix(topic, livePrefix))
 	}
+	defer s.end()
 	for !over() && time.Now().Before(s.ends) {
 		if !s.step() {
 			return
 		}
 	}
+	s.end()
 	if c.random.IntN(3) == 0 { // some say nothing more and go away
 		time.Sleep(time.Duration(c.random.Int64N(int64(second))))
 	}
 }
 
+// end notes that the client reads nothing more over the connection.
+func (s *session) end() {
+	for _, over := range s.overs {
+		over()
+	}
+	s.overs = nil
+}
+
 func (s *session) say(lines ...string) bool {
 	s.conn.SetWriteDeadline(time.Now().Add(time.Second))
 	s.saidAt = time.Now()
@@ -259,6 +270,7 @@
 	}
 	s.subscribed[topic] = true
 	subscription.begin(cursor)
+	s.overs = append(s.overs, subscription.stay())
 	return true
 }
 
