Soak: the limited service gets more than it may, so that its limit binds

Cause: with 20 a second allowed and 17 handed in the limit never bound while only planned work goes on.

Changed: 12 a second.

--- a/internal/soak/metered.go
+++ b/internal/soak/metered.go
@@ -9,7 +9,7 @@
 // the settings' ceiling_window_s and ceiling_excess say.
 const (
 	meteredService = "metered"
-	meteredRate    = 20 // arrivals a second
+	meteredRate    = 12 // arrivals a second: less than is handed in while only planned work goes on
 	meteredShare   = 10 // one message in so many is for it
 
 	ceilingWindow = 5 * time.Second
