--- a/internal/localcluster/retire_queue_test.go
+++ b/internal/localcluster/retire_queue_test.go
@@ -27,7 +27,7 @@
 func TestRetiredLeaderReportsItsSuccesses(t *testing.T) {
 	t.Parallel()
 	d := startDeployment(t, Plan{
-		Dir: t.TempDir(), Zones: 4, Edges: 1, Base: 22220, Net: network(0), Queue: true,
+		Dir: t.TempDir(), Zones: 4, Edges: 1, Base: 22300, Net: network(1), Queue: true,
 		Extra: []string{"fault_tolerance.machines=1"},
 	})
 	var runs runCounts
