Replication: the busy learner's test waits until the leader has decided all

Cause: the test read the end of the leader's log once its writer had stopped, while the last batch was still open or waiting for the disk.

Change: the machine counts requests; the test waits until the leader has decided each one that it took, then until the learner has what is decided, both within 10 s (the wait was without a bound), and compares instances, requests and digest.

--- a/internal/replication/snapshot_transfer_test.go
+++ b/internal/replication/snapshot_transfer_test.go
@@ -21,14 +21,16 @@
 
 // tally is a machine whose state tells every instance that made it.
 type tally struct {
-	N     int
-	Sum   [32]byte
-	Pad   []byte
-	loads int
+	N        int
+	Requests int
+	Sum      [32]byte
+	Pad      []byte
+	loads    int
 }
 
 func (m *tally) Apply(d paxos.Decided) {
 	m.N++
+	m.Requests += len(d.Value.Reqs)
 	m.Sum = sha256.Sum256(append(m.Sum[:], d.Raw...))
 }
 func (m *tally) Save() ([]byte, error) { return cbor.Marshal(m) }
@@ -95,6 +97,16 @@
 	return <-c
 }
 
+// waitUntil waits for a condition that must come true when nothing is submitted any more.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > 10*time.Second {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
 // TestLearnerOfABusyGroup: the log moves on by several tails while a learner is
 // given the state; it gets there all the same, with one snapshot or two.
 func TestLearnerOfABusyGroup(t *testing.T) {
@@ -103,11 +115,15 @@
 	lead := begin(t, a, []paxos.Member{a}, ma)
 	go lead.Actor.Run(lead.Tick)
 	stop, stopped := make(chan struct{}), make(chan struct{})
+	submitted := 0 // requests that the leader took; its actor counts them
 	go func() {
 		defer close(stopped)
 		for seq := uint64(1); ; seq++ {
 			lead.Actor.Do(func() {
-				lead.Submit(7, paxos.Request{ID: paxos.ID{Origin: "x", Seq: seq}, Data: fmt.Appendf(make([]byte, 20000), "%d", seq)}, false)
+				request := paxos.Request{ID: paxos.ID{Origin: "x", Seq: seq}, Data: fmt.Appendf(make([]byte, 20000), "%d", seq)}
+				if lead.Submit(7, request, false) == nil {
+					submitted++
+				}
 			})
 			select {
 			case <-stop:
@@ -134,15 +150,18 @@
 	}
 	close(stop)
 	<-stopped
-	for end := at(lead); at(learner) < end; {
-		time.Sleep(5 * time.Millisecond)
-	}
+	// What was taken last may still be undecided: only then does the leader's log end.
+	waitUntil(t, "the leader has decided what it took", func() bool {
+		return on(lead, func() bool { return ma.Requests == submitted })
+	})
+	waitUntil(t, "the learner has what is decided", func() bool { return at(learner) == at(lead) })
 	t.Logf("%v, %d instances, %d snapshots", time.Since(began), at(lead), on(learner, func() int { return mb.loads }))
 	if loads := on(learner, func() int { return mb.loads }); loads > 2 {
 		t.Fatalf("%d snapshots", loads)
 	}
-	if x, y := on(lead, func() tally { return *ma }), on(learner, func() tally { return *mb }); x.N != y.N || x.Sum != y.Sum {
-		t.Fatalf("%d applied here, %d there", x.N, y.N)
+	x, y := on(lead, func() tally { return *ma }), on(learner, func() tally { return *mb })
+	if x.N != y.N || x.Requests != y.Requests || x.Sum != y.Sum {
+		t.Fatalf("%d instances of %d requests applied here, %d of %d there", x.N, x.Requests, y.N, y.Requests)
 	}
 	if held := on(lead, func() int { return lead.Replicas[7].tailBytes }); held > lead.TailAt+len(ma.Pad)+4096 {
 		t.Fatalf("%d bytes of log held", held)
