Replication: tests hold their port until a process begins on it

Cause: an address was chosen by listening and closing at once, so another process could take its port before the test began on it, a second later for a learner. One of 120 runs of TestLearnerOfABusyGroup ended so beside five other copies.

Change: the listener stays open until the process begins.

--- a/internal/replication/snapshot_transfer_test.go
+++ b/internal/replication/snapshot_transfer_test.go
@@ -69,6 +69,7 @@
 		OpenBytes: 8 << 20, FeedBytes: 256 << 10, DisconnectTimeout: 50, RetransmitTimeout: 50}, genesis, m); err != nil {
 		t.Fatal(err)
 	}
+	release(self.Node)
 	if err := ch.Hub.Listen(string(self.Node)); err != nil {
 		t.Fatal(err)
 	}
@@ -81,14 +82,28 @@
 	return ch
 }
 
+// reserved holds the addresses that free gave and begin has not taken yet.
+var reserved = map[ids.Node]net.Listener{}
+
+// free reserves an address: until a process begins on it, nobody else can have its port.
 func free(t *testing.T) ids.Node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return ids.Node(l.Addr().String())
+	address := ids.Node(l.Addr().String())
+	reserved[address] = l
+	t.Cleanup(func() { release(address) })
+	return address
+}
+
+// release gives a reserved address up.
+func release(address ids.Node) {
+	if l := reserved[address]; l != nil {
+		l.Close()
+		delete(reserved, address)
+	}
 }
 
 func on[T any](ch *Manager, f func() T) T {
