Soak: periods of troubles and of subscriptions are kept in one way

The calendar of troubles and the connections of a subscriber kept lists of periods with the same code. A type 'periods' holds both, with a lock of its own.

--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,37 +13,45 @@
 // period is a stretch of time; the zero end says that it goes on.
 type period struct{ from, to time.Time }
 
-// calendar is when there was trouble that nobody planned: rules that troubles excuse are
-// judged only where there was none.
-type calendar struct {
-	mu      sync.Mutex
-	periods []*period
+// periods is a list of stretches of time that end one by one.
+type periods struct {
+	mu   sync.Mutex
+	list []*period
 }
 
-// begin notes that a trouble begins; the function it returns notes that it is over.
-func (c *calendar) begin() (over func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := &period{from: time.Now()}
-	c.periods = append(c.periods, p)
+// begin notes that a period begins; the function it returns notes that it is over.
+func (p *periods) begin() (over func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	begun := &period{from: time.Now()}
+	p.list = append(p.list, begun)
 	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		p.to = time.Now()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		begun.to = time.Now()
 	}
 }
 
+// any tells whether a test holds for one of the periods.
+func (p *periods) any(test func(period) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.list, func(one *period) bool { return test(*one) })
+}
+
+// calendar is when there was trouble that nobody planned: rules that troubles excuse are
+// judged only where there was none.
+type calendar struct{ troubles periods }
+
+// begin notes that a trouble begins; the function it returns notes that it is over.
+func (c *calendar) begin() (over func()) { return c.troubles.begin() }
+
 // calm tells whether there was no trouble from so long before a time to another.
 func (c *calendar) calm(before time.Duration, from, to time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	from = from.Add(-before)
-	for _, p := range c.periods {
-		if p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
-			return false
-		}
-	}
-	return true
+	return !c.troubles.any(func(trouble period) bool {
+		return trouble.from.Before(to) && (trouble.to.IsZero() || trouble.to.After(from))
+	})
 }
 
 // plannedWork is what operators do of themselves: it excuses nothing.
--- a/internal/soak/quiet_subscriber.go
+++ b/internal/soak/quiet_subscriber.go
@@ -12,28 +12,11 @@
 	progressTime = 2 * time.Second
 )
 
-// stay notes that a subscription began on a connection; the function it returns notes that the
-// connection ended.
-func (s *subscription) stay() (over func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := &period{from: time.Now()}
-	s.stays = append(s.stays, p)
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		p.to = time.Now()
-	}
-}
-
 // staysFor tells whether one connection held a subscription from a time to another.
 func (s *subscription) staysFor(from, to time.Time) bool {
-	for _, p := range s.stays {
-		if !p.from.After(from) && !p.to.IsZero() && !p.to.Before(to) {
-			return true
-		}
-	}
-	return false
+	return s.stays.any(func(stay period) bool {
+		return !stay.from.After(from) && !stay.to.IsZero() && !stay.to.Before(to)
+	})
 }
 
 // late tells whether a subscriber that stayed got neither a message that it was owed in time, nor
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -142,12 +142,12 @@
 	} {
 		h := newTopicHistory(newHistory(io.Discard))
 		if test.trouble {
-			h.calendar.periods = []*period{{from: start, to: start.Add(second)}}
+			h.calendar.troubles.list = []*period{{from: start, to: start.Add(second)}}
 		}
 		acked := start.Add(second)
 		s := h.subscription("c", topic)
 		s.since = start
-		s.stays = []*period{{from: start, to: acked.Add(test.left)}}
+		s.stays.list = []*period{{from: start, to: acked.Add(test.left)}}
 		h.messages["m"] = &topicMessage{topic: topic, body: "m", first: acked.Add(-tenth), ackedAt: acked}
 		h.messages["older"] = &topicMessage{topic: topic, body: "older", first: start.Add(tenth)}
 		if test.got > 0 {
--- a/internal/soak/topic_history.go
+++ b/internal/soak/topic_history.go
@@ -105,9 +105,10 @@
 	since    time.Time            // its first answer; zero: none yet
 	lastAt   time.Time            // when something last came over it
 	seen     map[string]time.Time // bodies that came, and when
-	stays    []*period            // connections that it was held on
 	highest  map[string]uint64    // by sender
 	received int
+
+	stays periods // connections that it was held on
 }
 
 // subscription makes the record of a client's subscription.
--- a/internal/soak/topics.go
+++ b/internal/soak/topics.go
@@ -270,7 +270,7 @@
 	}
 	s.subscribed[topic] = true
 	subscription.begin(cursor)
-	s.overs = append(s.overs, subscription.stay())
+	s.overs = append(s.overs, subscription.stays.begin())
 	return true
 }
 
--- a/internal/soak/twice_test.go
+++ b/internal/soak/twice_test.go
@@ -150,7 +150,7 @@
 // TestCalendar: a trouble counts from its beginning until so long after its end.
 func TestCalendar(t *testing.T) {
 	start := time.Now()
-	c := &calendar{periods: []*period{{from: start.Add(10 * second), to: start.Add(12 * second)}}}
+	c := &calendar{troubles: periods{list: []*period{{from: start.Add(10 * second), to: start.Add(12 * second)}}}}
 	for _, test := range []struct {
 		from, to time.Duration
 		calm     bool
