--- a/internal/soak/asker.go
+++ b/internal/soak/asker.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -32,15 +33,20 @@
 // ask asks after one message, and judges that it is unknown. Troubles excuse that.
 func (a *asker) ask(m *queueMessage) {
 	began := time.Now()
-	status := a.history.state(m, a.fronts(), a.keyOf(m.tenant))
+	state := a.history.state(m, a.fronts(), a.keyOf(m.tenant))
 	a.history.count("questions after messages")
-	unknown := status == "404" || status == "410"
-	if unknown && a.history.calendar.calm(contactTime, began, time.Now()) {
-		a.history.violate("LOST", "message %s, accepted %v ago, is answered %s: %d is not known",
-			m.id, began.Sub(m.acceptedAt).Round(time.Millisecond), status, http.StatusNotFound)
+	if saysUnknown(state) && a.history.calendar.calm(contactTime, began, time.Now()) {
+		a.history.violate("LOST", "message %s, accepted %v ago, is answered %s, as if it were unknown",
+			m.id, began.Sub(m.acceptedAt).Round(time.Millisecond), state)
 	}
 }
 
+// saysUnknown tells whether an answer denies that a message was accepted, or says that it is
+// forgotten.
+func saysUnknown(state string) bool {
+	return state == fmt.Sprint(http.StatusNotFound) || state == fmt.Sprint(http.StatusGone)
+}
+
 // drawAccepted gives a message that was accepted long enough ago to be known everywhere, and not
 // so long that it may be forgotten; nil: there is none.
 func (h *QueueHistory) drawAccepted(random *rand.Rand) *queueMessage {
