Soak: arrivals and times of answers belong to those who judge and tell them

QueueHistory held them under its own lock, for code in other files. arrivalMeter (metered.go) and answerTimes (answer_times.go) own them now. No judgement changes; TestArrivalsBite, TestAskerBites and TestBudgetBites pass.

--- a/internal/soak/metered.go
+++ b/internal/soak/metered.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -22,30 +23,41 @@
 	return int(meteredRate*ceilingWindow.Seconds()*ceilingExcess) + ceilingSlack
 }
 
-// arrives notes an arrival at a worker of the service.
-func (h *QueueHistory) arrives(service string) {
+// arrivalMeter holds the arrivals at workers of the service.
+type arrivalMeter struct {
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+// arrives notes an arrival at a worker of any service.
+func (m *arrivalMeter) arrives(service string) {
 	if service != meteredService {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.arrivals = append(h.arrivals, time.Now())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.arrivals = append(m.arrivals, time.Now())
 }
 
-// checkArrivals judges the fullest window. Troubles excuse nothing.
-func (h *QueueHistory) checkArrivals() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	slices.SortFunc(h.arrivals, time.Time.Compare)
-	worst := 0
+// fullest counts all arrivals and those of the fullest window.
+func (m *arrivalMeter) fullest() (all, worst int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slices.SortFunc(m.arrivals, time.Time.Compare)
 	first := 0
-	for i, at := range h.arrivals {
-		for at.Sub(h.arrivals[first]) >= ceilingWindow {
+	for i, at := range m.arrivals {
+		for at.Sub(m.arrivals[first]) >= ceilingWindow {
 			first++
 		}
 		worst = max(worst, i-first+1)
 	}
-	h.note("service %s: %d arrivals, %d in the fullest window, %d may be", meteredService, len(h.arrivals), worst, mostArrivals())
+	return len(m.arrivals), worst
+}
+
+// checkArrivals judges the fullest window. Troubles excuse nothing.
+func (h *QueueHistory) checkArrivals() {
+	all, worst := h.metered.fullest()
+	h.note("service %s: %d arrivals, %d in the fullest window, %d may be", meteredService, all, worst, mostArrivals())
 	if worst > mostArrivals() {
 		h.violate("CEILING", "service %s: %d arrivals within %v, at most %d may be", meteredService, worst, ceilingWindow, mostArrivals())
 	}
--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -84,9 +84,10 @@
 	messages map[string]*queueMessage   // by id
 	keys     map[string][]*queueMessage // accepted, by sequence
 	took     []time.Duration            // from the sending of a message to its 202
-	asked    map[int][]time.Duration    // to what is told of a message, by the answer's status
 	accepts  []*queueMessage            // in the order they were accepted
-	arrivals []time.Time                // at the metered service
+
+	metered arrivalMeter
+	asked   answerTimes // of questions after messages
 }
 
 func newQueueHistory(h *History) *QueueHistory {
@@ -94,7 +95,6 @@
 		History:  h,
 		messages: map[string]*queueMessage{},
 		keys:     map[string][]*queueMessage{},
-		asked:    map[int][]time.Duration{},
 	}
 }
 
@@ -250,7 +250,7 @@
 		all.Wait()
 		open = still
 	}
-	h.tellAsked()
+	h.asked.tell(h.History, "questions after messages")
 	h.checkTwice()
 	h.checkArrivals()
 	slices.SortFunc(open, func(a, b *queueMessage) int { return a.sent.Compare(b.sent) })
@@ -277,22 +277,6 @@
 	return !at.IsZero() && time.Since(at) > reportTime
 }
 
-// noteAsked notes how long it took to be told of a message.
-func (h *QueueHistory) noteAsked(status int, took time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.asked[status] = append(h.asked[status], took)
-}
-
-// tellAsked tells how long it took to be told of messages.
-func (h *QueueHistory) tellAsked() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for status, took := range h.asked {
-		h.noteTimes(fmt.Sprintf("%d questions after messages answered %d", len(took), status), took)
-	}
-}
-
 // state asks how a message stands, and judges the answer.
 func (h *QueueHistory) state(m *queueMessage, fronts []string, key string) string {
 	header := map[string]string{"Host": queueHost}
@@ -302,7 +286,7 @@
 	front := fronts[rand.IntN(len(fronts))]
 	began := time.Now()
 	answer := callFor(stateTimeout, http.MethodGet, "http://"+front+"/v1/message/"+m.name, header, nil)
-	h.noteAsked(answer.status, time.Since(began))
+	h.asked.add(answer.status, time.Since(began))
 	if answer.status == http.StatusNotFound && h.forgotten(m) {
 		return m.wantedState()
 	}
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -34,16 +34,16 @@
 		h := newQueueHistory(newHistory(io.Discard))
 		start := time.Now()
 		for i := range test.arrivals {
-			h.arrivals = append(h.arrivals, start.Add(test.within*time.Duration(i)/time.Duration(test.arrivals)))
+			h.metered.arrivals = append(h.metered.arrivals, start.Add(test.within*time.Duration(i)/time.Duration(test.arrivals)))
 		}
 		if h.checkArrivals(); rulesOf(h) != test.want {
 			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h), test.want)
 		}
 	}
 	h := newQueueHistory(newHistory(io.Discard))
-	h.arrives(stockService)
-	if h.arrives(meteredService); len(h.arrivals) != 1 {
-		t.Errorf("%d arrivals are noted, want that of the limited service", len(h.arrivals))
+	h.metered.arrives(stockService)
+	if h.metered.arrives(meteredService); len(h.metered.arrivals) != 1 {
+		t.Errorf("%d arrivals are noted, want that of the limited service", len(h.metered.arrivals))
 	}
 }
 
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return
 	}
-	w.fleet.history.arrives(w.service)
+	w.fleet.history.metered.arrives(w.service)
 	if to := r.Header.Get("X-Intended-Instance"); to != "" && to != w.id {
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
