Dispatch: a full leader reads the verb of what it refuses, not the whole message

Cause: to let the ends of attempts pass, a full leader decoded each request, body and all, on the goroutine that serves its shards, exactly while it is overloaded.

Change: queue.VerbOf reads the verb from the first bytes of either form.

TestVerbOf reads all forms, and none from what is no command; TestFullLeaderTakesEnds passes as before.

--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/proposals"
@@ -68,8 +67,8 @@
 // endsAttempts tells whether a request reports the ends of attempts. They take no room, and
 // only who sent the attempts knows of them.
 func endsAttempts(request paxos.Request) bool {
-	var command queue.Command
-	return codec.Unmarshal(request.Data, &command) == nil && command.Verb == queue.End
+	verb, ok := queue.VerbOf(request.Data)
+	return ok && verb == queue.End
 }
 
 // Answer tells an edge what became of requests that it put to a group, and who leads the
--- a/internal/queue/encoding.go
+++ b/internal/queue/encoding.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"bytes"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/codec"
@@ -20,12 +22,19 @@
 	Reserve *quota.Reserve `cbor:"4,keyasint,omitempty"`
 }
 
-// mapHead and headBits tell a map by its first byte.
+// headBits of a first byte tell an array from a map.
 const (
-	mapHead  = 0xa0
-	headBits = 0xe0
+	arrayHead = 0x80
+	mapHead   = 0xa0
+	headBits  = 0xe0
 )
 
+// verbKey is the first key of the map: its value is the verb.
+const verbKey = 1
+
+// maxVerb is the greatest verb that takes one byte.
+const maxVerb = 23
+
 // MarshalCBOR encodes a command in one of its two forms.
 func (c Command) MarshalCBOR() ([]byte, error) {
 	switch {
@@ -37,6 +46,29 @@
 	return cbor.Marshal(plainCommand(c))
 }
 
+// VerbOf reads the verb of an encoded command from its first bytes, however long its message
+// is; false: they are not those of a command.
+func VerbOf(data []byte) (Verb, bool) {
+	if len(data) == 0 {
+		return 0, false
+	}
+	var rest []byte
+	switch data[0] & headBits {
+	case arrayHead:
+		rest = data[1:]
+	case mapHead:
+		after, found := bytes.CutPrefix(data[1:], []byte{verbKey})
+		if !found {
+			return 0, false
+		}
+		rest = after
+	}
+	if len(rest) == 0 || rest[0] > maxVerb {
+		return 0, false
+	}
+	return Verb(rest[0]), true
+}
+
 // UnmarshalCBOR decodes either form.
 func (c *Command) UnmarshalCBOR(data []byte) error {
 	if len(data) == 0 || data[0]&headBits != mapHead {
--- a/internal/queue/tenant_test.go
+++ b/internal/queue/tenant_test.go
@@ -91,6 +91,48 @@
 	}
 }
 
+// TestVerbOf: the first bytes of either form tell the verb; what is no command has none.
+func TestVerbOf(t *testing.T) {
+	for _, command := range []Command{
+		{Verb: Accept, Msg: &Message{ID: "m", Body: make([]byte, 1<<16)}},
+		{Verb: Accept, Msg: &Message{ID: "m", Tenant: "t"}},
+		{Verb: Begin, Attempts: make([]Attempt, 30), By: "here", Incarnation: 1},
+		{Verb: End, Attempts: []Attempt{{Pos: 1, Outcome: Done}}},
+		{Verb: Reserve, Reserve: reservation("t", 2, 3)},
+	} {
+		data, err := cbor.Marshal(command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if verb, ok := VerbOf(data); !ok || verb != command.Verb {
+			t.Errorf("verb %d is read as %d, %v", command.Verb, verb, ok)
+		}
+	}
+	for _, bad := range []string{"", "85", "8518ff", "a1", "a101", "a10203", "a1011818", "6103", "03"} {
+		data, _ := hex.DecodeString(bad)
+		if verb, ok := VerbOf(data); ok {
+			t.Errorf("%s has the verb %d", bad, verb)
+		}
+	}
+}
+
+// BenchmarkVerbOf reads the verb of a large message, which a full leader does for each that it
+// refuses; the whole command beside it.
+func BenchmarkVerbOf(b *testing.B) {
+	data, _ := cbor.Marshal(Command{Verb: Accept, Msg: &Message{ID: "m", Body: make([]byte, 1<<16)}})
+	b.Run("verb", func(b *testing.B) {
+		for b.Loop() {
+			VerbOf(data)
+		}
+	})
+	b.Run("command", func(b *testing.B) {
+		for b.Loop() {
+			var command Command
+			cbor.Unmarshal(data, &command)
+		}
+	})
+}
+
 // TestSequencesOfTenants: two tenants with one X-Sequence-Key have two sequences, and the
 // messages of nobody a third; each keeps its own order, also after a load.
 func TestSequencesOfTenants(t *testing.T) {
