Paxos: a leader that was replaced may lead again once it has a vote

Callers: a shard could lack a leader, or be led by a slow store, although a fast one with a vote was there.

Cause: a replaced leader hands over by the call for processes that end, which also barred its replica from leading for as long as the process keeps it. Since former leaders follow until they are released, such a replica is kept longer and is what becomes a voter next.

Change: StopLeading for processes that end, TransferLeadership for the hand-over alone.

Measured: TestRemovedLeaderMayLeadAgain failed before ('the others are silent for 10 s, and it does not ask for votes', 'it is told to take over, and does not') and passes now; the packages paxos, store, control, mutation, modelcheck and simulation pass (the last two with -short).

--- a/internal/control/enroll.go
+++ b/internal/control/enroll.go
@@ -142,7 +142,7 @@
 func (c *Control) Depart(now ids.Millis) {
 	c.now, c.leaving = now, true
 	c.Ask(Command{Verb: Depart, Node: c.conf.Self}, departWait, ignoreResult)
-	c.core.TransferLeadership(now)
+	c.core.StopLeading(now)
 }
 
 // Departed tells whether this process is not needed any more: it has no vote, and
--- a/internal/modelcheck/transitions.go
+++ b/internal/modelcheck/transitions.go
@@ -124,7 +124,7 @@
 		}
 		n.boot(e.plan, e.founders, e.others)
 	case Drain:
-		n.core.TransferLeadership(n.now)
+		n.core.StopLeading(n.now)
 	case Keep:
 		n.pending = append(n.pending, write{Snap: n.image()})
 	case Submit, Again:
--- a/internal/paxos/core.go
+++ b/internal/paxos/core.go
@@ -49,7 +49,7 @@
 	clock          ids.Millis
 	born           ids.Millis // when this incarnation began, by its own steady clock
 	now            ids.Millis // as of the last tick
-	draining       bool       // this replica leaves: it leads no more
+	draining       bool       // its process is about to end: it leads no more
 
 	memberships     []Membership // in force, and decided to be
 	membershipSince ids.Slot     // the newest membership came into force here
--- a/internal/paxos/core_test.go
+++ b/internal/paxos/core_test.go
@@ -173,7 +173,7 @@
 	c.Drain()
 	c.Submit(300, req("x", 1, 300), false)
 	e := c.Drain()
-	c.TransferLeadership(301)
+	c.StopLeading(301)
 	if n, _ := kinds(c.Drain(), TransferLeadership); n != 0 || c.Role() != Leader {
 		t.Fatal("handed over with an instance undecided")
 	}
@@ -216,6 +216,55 @@
 	}
 }
 
+// TestRemovedLeaderMayLeadAgain: a leader that is replaced hands over, and takes part in elections
+// once it has a vote again; it would be missed if the others were not there.
+func TestRemovedLeaderMayLeadAgain(t *testing.T) {
+	a := lead(t)
+	a.Synced(300, a.Drain().Token)
+	d := Member{ID: 4, Node: "d"}
+	others := []Member{three[1], three[2], d}
+	a.SetLearners([]Member{d})
+	a.Receive(301, d.Node, Msg{Kind: CaughtUp, From: d.ID, Ballot: a.leader})
+	if err := a.ChangeMembership(302, others); err != nil {
+		t.Fatal(err)
+	}
+	for slot := ids.Slot(1); slot <= 4; slot++ { // in force from 1 + WND on
+		a.Synced(303, a.Drain().Token)
+		for _, member := range others {
+			a.Receive(304, member.Node, Msg{Kind: Accepted, From: member.ID, Ballot: a.leader, Slot: slot})
+		}
+	}
+	a.TransferLeadership(305)
+	if n, _ := kinds(a.Drain(), TransferLeadership); n != 1 || a.Role() == Leader {
+		t.Fatal("not handed over")
+	}
+	if a.askAt() != never {
+		t.Fatal("asks for votes, and has none itself")
+	}
+	a.SetSelf(9)
+	again := []Member{{ID: 9, Node: "a"}, three[1], three[2]}
+	ballot := ids.MakeBallot(2, 2)
+	for slot := ids.Slot(5); slot <= 9; slot++ {
+		value := Value{}
+		if slot == 5 {
+			value.Members = again
+		}
+		a.Receive(306, "b", Msg{Kind: Accept, From: 2, Ballot: ballot, Slot: slot, Commit: slot - 1, Val: encode(value)})
+		a.Synced(307, a.Drain().Token)
+	}
+	if !a.voter() {
+		t.Fatalf("has no vote at %d", a.Commit())
+	}
+	a.Tick(10000)
+	if n, _ := kinds(a.Drain(), PreVote); n == 0 {
+		t.Error("the others are silent for 10 s, and it does not ask for votes")
+	}
+	a.Receive(10001, "b", Msg{Kind: TransferLeadership, From: 2, Ballot: ballot, Commit: a.Commit()})
+	if a.Role() != Candidate {
+		t.Error("it is told to take over, and does not")
+	}
+}
+
 func TestDecidedTimeNeverRunsAhead(t *testing.T) {
 	c := replica(1, three, InitialState{Clock: 5000})
 	c.Tick(900000) // this machine's steady clock is far from any other's
--- a/internal/paxos/transfer.go
+++ b/internal/paxos/transfer.go
@@ -2,10 +2,15 @@
 
 import "oxbowdeck/internal/ids"
 
-// TransferLeadership makes a draining leader finish its window and hand over. It
-// takes no new requests from now on.
-func (c *Core) TransferLeadership(now ids.Millis) {
+// StopLeading makes a replica whose process is about to end hand over and lead no more.
+func (c *Core) StopLeading(now ids.Millis) {
 	c.draining = true
+	c.TransferLeadership(now)
+}
+
+// TransferLeadership makes a leader finish its window and hand over. It takes no new requests
+// from now on. It may lead again later, if it has a vote then.
+func (c *Core) TransferLeadership(now ids.Millis) {
 	if c.role != Leader || c.leading.transferring {
 		return
 	}
--- a/internal/replication/manager.go
+++ b/internal/replication/manager.go
@@ -244,7 +244,7 @@
 // Leave drains: every leadership is handed over.
 func (m *Manager) Leave() {
 	for _, r := range m.Replicas {
-		r.Core.TransferLeadership(ids.MonotonicNow())
+		r.Core.StopLeading(ids.MonotonicNow())
 		m.flush(r)
 	}
 }
--- a/internal/simulation/troubles.go
+++ b/internal/simulation/troubles.go
@@ -99,7 +99,7 @@
 
 // drain hands a node's lead over and restarts its process.
 func (w *World) drain(n *node, duration ids.Millis) {
-	n.core.TransferLeadership(w.clock(n))
+	n.core.StopLeading(w.clock(n))
 	w.flush(n)
 	incarnation := n.incarnation
 	w.after(100, func() {
