Control: an order to empty a store outlives the loss of its disk

Callers: a store was ordered to be emptied, lost its disk before that was done, and joined again under its name and address. GET /v1/retire/NODE said 'active' for ever, while the machine got its places back.

Cause: an order held for a disk, so that a machine which joins after the end of an order is not emptied. A new disk was enrolled as free, also before that end, and 'completed' asks that no place names the ordered address.

Change: an enrolment takes over an order that has not come to its end (State.renewOrder); places get the new disk's number also where it is to be emptied. The command bears a flag, so that logs of earlier versions are read as before; control processes of an earlier version don't know it, and hold such a store for free until they are replaced.

Measured: TestOrderOutlivesADisk failed before ('done false'); its two guards were taken out one by one and it failed. TestANewDiskIsNotEmptied keeps its check and gets the flagged enrolment beside it.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -79,6 +79,9 @@
 	// of Promote: the replaced voter follows on also where it is to be emptied, until the
 	// shard's leader releases it
 	UntilReleased bool `cbor:"19,keyasint,omitempty"`
+	// of Enroll: an order to empty the machine that has not come to its end is for its new
+	// disk, too
+	KeepsOrders bool `cbor:"20,keyasint,omitempty"`
 }
 
 // leaderOnly tells whether a command is the leader's own doing, so that it bears the
--- a/internal/control/enroll.go
+++ b/internal/control/enroll.go
@@ -51,7 +51,7 @@
 				seq = c.state.UpdatedAt // what follows over this link are changes
 			}
 		}
-		c.Ask(Command{Verb: Enroll, Node: n}, enrollWait, func(_ Result, ok bool) {
+		c.Ask(Command{Verb: Enroll, Node: n, KeepsOrders: true}, enrollWait, func(_ Result, ok bool) {
 			if ok {
 				c.subscribe(conn, n, seq)
 			}
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -23,8 +23,9 @@
 	return nil
 }
 
-// enroll takes a process's incarnation; false if it is known.
-func (s *State) enroll(n controlapi.Node) bool {
+// enroll takes a process's incarnation; false if it is known. An order to empty it that has not
+// come to its end can hold for its new disk, too.
+func (s *State) enroll(n controlapi.Node, keepsOrders bool) bool {
 	old := s.find(n.Addr)
 	if old != nil && old.Disk == n.Disk {
 		n.Num = old.Num
@@ -38,7 +39,7 @@
 			return false
 		}
 		s.clearDeparture(n.Addr)
-		n.Empty = old.Empty && n.Disk == old.Disk
+		n.Empty = old.Empty && (n.Disk == old.Disk || keepsOrders && s.renewOrder(old, n.Disk))
 		n.At = s.Slot
 		*old = n
 	} else {
@@ -47,7 +48,7 @@
 		s.Nodes = append(s.Nodes, n)
 		sort.Slice(s.Nodes, func(i, j int) bool { return s.Nodes[i].Addr < s.Nodes[j].Addr })
 	}
-	if n.Role == controlapi.Store && len(s.Shards) > 0 && !n.Empty {
+	if n.Role == controlapi.Store && len(s.Shards) > 0 {
 		s.renumberReplicas(n)
 	}
 	return true
--- a/internal/control/released_test.go
+++ b/internal/control/released_test.go
@@ -68,6 +68,57 @@
 	}
 }
 
+// TestOrderOutlivesADisk guards against an order that never ends: the machine lost its disk
+// before it was emptied, joined as an empty one and was given back what it had held. A machine
+// of the same name and address that joins after the end of the order is not meant.
+func TestOrderOutlivesADisk(t *testing.T) {
+	t.Run("while it has votes", func(t *testing.T) {
+		p := &play{}
+		p.found(t, 2, 1, "a", "b", "c", "d")
+		voter := p.Shards[0].Voters[0]
+		name := p.find(voter.Node).Name
+		p.do(t, Command{Verb: Retire, Node: controlapi.Node{Name: name}, Losses: 1})
+		loseDisk(t, p, name, voter)
+	})
+	t.Run("while it follows", func(t *testing.T) {
+		p := &play{}
+		p.found(t, 2, 1, "a", "b", "c", "d")
+		name, voter := retireVoter(t, p)
+		loseDisk(t, p, name, voter)
+	})
+}
+
+// loseDisk has a store that is being emptied join with a new disk, and once more after the end of
+// its order.
+func loseDisk(t *testing.T, p *play, name string, voter paxos.Member) {
+	t.Helper()
+	rejoin := func(disk uint64) {
+		p.do(t, Command{Verb: Enroll, KeepsOrders: true, Node: controlapi.Node{
+			Name: name, Role: controlapi.Store, Zone: "a", Addr: voter.Node, Disk: disk, Incarnation: ids.Incarnation(disk),
+		}})
+	}
+	rejoin(101)
+	for _, shard := range p.Shards {
+		if index(shard.Voters, voter) >= 0 || index(shard.Learners, voter) >= 0 {
+			t.Errorf("the new disk has the old one's number: %+v", shard)
+		}
+	}
+	if _, asked, done := p.Emptied(name); !asked || done {
+		t.Errorf("asked %v, done %v, once the disk is lost", asked, done)
+	}
+	p.settle(t, nil, false)
+	if _, _, done := p.Emptied(name); !done || p.holds(voter.Node) != 0 {
+		t.Fatalf("done %v: %+v", done, p.Shards)
+	}
+	if result := p.do(t, Command{Verb: Retire, Node: controlapi.Node{Name: name}, Losses: 1}); result != Done {
+		t.Errorf("the order, once more: %v", result)
+	}
+	rejoin(102)
+	if p.find(voter.Node).Empty {
+		t.Error("a machine that joins after the end of the order is to be emptied")
+	}
+}
+
 // TestBalancedVoterFollowsUntilReleased: a store that gives a vote to a less loaded one may
 // have led as well.
 func TestBalancedVoterFollowsUntilReleased(t *testing.T) {
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -60,6 +62,21 @@
 	return nil
 }
 
+// renewOrder has the order to empty a store hold for the disk that the store joins with; false:
+// the order has come to its end.
+func (s *State) renewOrder(store *controlapi.Node, disk uint64) bool {
+	order := s.ordered(store.Name)
+	if order == nil || order.Addr != store.Addr || order.Disk != store.Disk {
+		return false
+	}
+	if _, _, done := s.Emptied(store.Name); done {
+		return false
+	}
+	s.Retired = slices.Clone(s.Retired)
+	s.ordered(store.Name).Disk = disk
+	return true
+}
+
 // store gives the storage machine of a name: the one that lives, else the one
 // that was heard of last.
 func (s *State) store(name string) (best *controlapi.Node) {
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -353,7 +353,8 @@
 }
 
 // TestANewDiskIsNotEmptied: an order to empty a machine holds for its disk, whatever
-// incarnations it has, and not for the disk that comes in its place.
+// incarnations it has, and not for the disk that comes in its place once the machine holds
+// nothing (TestOrderOutlivesADisk has the time before), nor, in logs of earlier versions, ever.
 func TestANewDiskIsNotEmptied(t *testing.T) {
 	s := &State{}
 	for i := range 5 {
@@ -366,8 +367,12 @@
 	if s.run(&Command{Verb: Enroll, Node: again}); !s.find("a0").Empty {
 		t.Error("the next incarnation on that disk is not to be emptied any more")
 	}
-	again.Incarnation, again.Disk = 3, 77
-	if s.run(&Command{Verb: Enroll, Node: again}); s.find("a0").Empty {
-		t.Error("a new disk is to be emptied")
+	for i, keepsOrders := range []bool{false, true} {
+		was := *s.find("a0")
+		again.Incarnation, again.Disk = ids.Incarnation(3+i), 77
+		if s.run(&Command{Verb: Enroll, Node: again, KeepsOrders: keepsOrders}); s.find("a0").Empty {
+			t.Errorf("a new disk is to be emptied (%v)", keepsOrders)
+		}
+		*s.find("a0") = was
 	}
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -95,7 +95,7 @@
 	case Put:
 		return s.put(c)
 	case Enroll:
-		return Done, s.enroll(c.Node)
+		return Done, s.enroll(c.Node, c.KeepsOrders)
 	case Leave:
 		return Done, s.leave(c.Node)
 	case BeginTerm:
