Transport: who drops a link that is being dialed does not wait for who is told

Callers: a process that is overloaded while a peer can't be reached could stand still for good.

Cause: the end of a link without a reader was told on the goroutine that dropped it, often the actor, as a command for that same actor. Its queue holds callers up when it is full.

Change: it is told on a goroutine of its own.

--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -126,7 +126,7 @@
 	}
 	l.wakeWriter()
 	if !hasReader {
-		l.hub.down(l)
+		go l.hub.down(l) // whoever drops a link may be who has to take the news of its end
 	}
 	return true
 }
--- a/internal/transport/link_test.go
+++ b/internal/transport/link_test.go
@@ -106,6 +106,53 @@
 	}
 }
 
+// TestDropWaitsForNobody guards against a process that stands still for good: its actor drops a
+// link that is still being dialed, and who is told of that waits until the actor takes more.
+func TestDropWaitsForNobody(t *testing.T) {
+	relay, err := net.Listen("tcp", "127.0.0.1:0") // accepts and says nothing: the dial goes on
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	bounds := small
+	bounds.Relay, bounds.Dial = relay.Addr().String(), time.Minute
+	taken, told := make(chan struct{}), make(chan *Link, 10)
+	hub := New(Hello{Node: "a"}, bounds, func(*Link, Kind, []byte) {}, func(l *Link) {
+		<-taken
+		told <- l
+	})
+	defer hub.Close(0)
+	for what, drop := range map[string]func(*Link){
+		"dropped": (*Link).Drop,
+		"too much is queued": func(l *Link) {
+			for l.SendRaw(5, make([]byte, 60000)) {
+			}
+		},
+	} {
+		link := hub.To("peer")
+		dropped := make(chan struct{})
+		go func() {
+			drop(link)
+			close(dropped)
+		}()
+		select {
+		case <-dropped:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: waits for who is told", what)
+		}
+		taken <- struct{}{}
+		select {
+		case l := <-told:
+			if l != link {
+				t.Errorf("%s: another link's end is told", what)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%s: nobody is told", what)
+		}
+	}
+	close(taken)
+}
+
 type counted struct {
 	net.Conn
 	writes chan int
