Soak: one rule for what a subscription is owed, one list of broken rules in its tests

Two judges of topics spelled out which messages a subscription is owed, one of them beside a method that tells retained topics, and one test listed the broken rules by a copy of rulesOf. No judgement and no assertion changes.

--- a/internal/soak/quiet_subscriber.go
+++ b/internal/soak/quiet_subscriber.go
@@ -1,9 +1,6 @@
 package soak
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 const (
 	// deliveryTime is how long after its acknowledgement a message reaches who stays subscribed.
@@ -23,8 +20,7 @@
 // lately an older one. Troubles excuse it. Locks of both histories are held.
 func (s *subscription) late(m *topicMessage) bool {
 	due := m.ackedAt.Add(deliveryTime)
-	owed := m.topic == s.topic && !m.ackedAt.IsZero() && !s.since.IsZero() && m.first.After(s.since)
-	if !owed || !s.staysFor(m.ackedAt, due) || !s.history.calendar.calm(contactTime, m.ackedAt, due) {
+	if !s.owed(m) || !s.staysFor(m.ackedAt, due) || !s.history.calendar.calm(contactTime, m.ackedAt, due) {
 		return false
 	}
 	if at, got := s.seen[m.body]; got && !at.After(due) {
@@ -43,7 +39,7 @@
 // checkStays judges the subscribers that stayed on their connections.
 func (h *TopicHistory) checkStays() {
 	for _, s := range h.subscriptions {
-		if !strings.HasPrefix(s.topic, retainedPrefix) {
+		if !s.retained() {
 			continue
 		}
 		s.mu.Lock()
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -11,7 +11,7 @@
 )
 
 // rulesOf gives the rules that were violated.
-func rulesOf(h *QueueHistory) string {
+func rulesOf(h *History) string {
 	var rules []string
 	for _, v := range h.Violations() {
 		rules = append(rules, v.Rule)
@@ -36,8 +36,8 @@
 		for i := range test.arrivals {
 			h.metered.arrivals = append(h.metered.arrivals, start.Add(test.within*time.Duration(i)/time.Duration(test.arrivals)))
 		}
-		if h.checkArrivals(); rulesOf(h) != test.want {
-			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h), test.want)
+		if h.checkArrivals(); rulesOf(h.History) != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h.History), test.want)
 		}
 	}
 	h := newQueueHistory(newHistory(io.Discard))
@@ -72,8 +72,8 @@
 		for range test.answers {
 			h.answersHopeless(h.begins("w", "m", request, nil), hopelessAnswer(test.path))
 		}
-		if h.begins("w", "m", request, nil); rulesOf(h) != test.want {
-			t.Errorf("%s after %d answers: violated %q, want %q", test.path, test.answers, rulesOf(h), test.want)
+		if h.begins("w", "m", request, nil); rulesOf(h.History) != test.want {
+			t.Errorf("%s after %d answers: violated %q, want %q", test.path, test.answers, rulesOf(h.History), test.want)
 		}
 	}
 }
@@ -113,8 +113,8 @@
 		front := edgeThatAnswers(t, test.status, test.body)
 		m := &queueMessage{id: "m", name: "m", path: test.path, acceptedAt: time.Now().Add(-knownTime)}
 		a := &asker{history: h, fronts: func() []string { return []string{front} }, keyOf: keyOfTenant}
-		if a.ask(m); rulesOf(h) != test.want {
-			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h), test.want)
+		if a.ask(m); rulesOf(h.History) != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h.History), test.want)
 		}
 	}
 }
@@ -156,13 +156,8 @@
 		if test.older > 0 {
 			s.seen["older"] = acked.Add(test.older)
 		}
-		h.checkStays()
-		var rules []string
-		for _, v := range h.Violations() {
-			rules = append(rules, v.Rule)
-		}
-		if got := strings.Join(rules, " "); got != test.want {
-			t.Errorf("%s: violated %q, want %q", test.what, got, test.want)
+		if h.checkStays(); rulesOf(h.History) != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h.History), test.want)
 		}
 	}
 }
@@ -185,13 +180,13 @@
 		front := edgeThatAnswers(t, test.status, "")
 		s := &sender{history: h, fronts: func() []string { return []string{front} }, random: rand.New(rand.NewPCG(1, 1))}
 		s.try(&queueMessage{id: "m", path: test.path, sent: time.Now()})
-		if rulesOf(h) != test.want {
-			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h), test.want)
+		if rulesOf(h.History) != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h.History), test.want)
 		}
 	}
 	h := newQueueHistory(newHistory(io.Discard))
 	h.sending(&queueMessage{id: "m", path: noRoutePath, sent: time.Now()})
-	if h.begins("w", "m", httptest.NewRequest(http.MethodPost, noRoutePath, nil), nil); rulesOf(h) != "ROUTE" {
-		t.Errorf("a run without a route violates %q", rulesOf(h))
+	if h.begins("w", "m", httptest.NewRequest(http.MethodPost, noRoutePath, nil), nil); rulesOf(h.History) != "ROUTE" {
+		t.Errorf("a run without a route violates %q", rulesOf(h.History))
 	}
 }
--- a/internal/soak/topic_history.go
+++ b/internal/soak/topic_history.go
@@ -202,6 +202,12 @@
 	h.count("deliveries")
 }
 
+// owed tells whether a message is due to the subscription: it was acknowledged, and first sent
+// after the subscription began. Locks of both histories are held.
+func (s *subscription) owed(m *topicMessage) bool {
+	return m.topic == s.topic && !m.ackedAt.IsZero() && !s.since.IsZero() && m.first.After(s.since)
+}
+
 // lacks gives the messages that a subscription is owed and did not get.
 func (s *subscription) lacks() (missing []*topicMessage) {
 	if !s.retained() {
@@ -212,8 +218,7 @@
 	s.history.mu.Lock()
 	defer s.history.mu.Unlock()
 	for _, m := range s.history.messages {
-		owed := m.topic == s.topic && !m.ackedAt.IsZero() && !s.since.IsZero() && m.first.After(s.since)
-		if _, got := s.seen[m.body]; owed && !got {
+		if _, got := s.seen[m.body]; s.owed(m) && !got {
 			missing = append(missing, m)
 		}
 	}
