--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -2,6 +2,8 @@
 // to fail (KNOWN-RED.txt in the folder it runs in, where it exists): exactly those may
 // fail. A listed test that does not fail, or does not exist, fails the run as well.
 //
+// The list also holds cases that are no test of `go test`: these are printed.
+//
 // Its arguments are those of `go test`; "--" begins those of a further pass. A listed
 // test fails as expected when it does in one of the passes.
 package main
--- a/internal/knownred/report.go
+++ b/internal/knownred/report.go
@@ -179,7 +179,7 @@
 	var unlisted []string
 	for _, test := range run.failed {
 		if listed := r.listed(e.Package, test); listed != nil {
-			r.print(fmt.Sprintf("known red: %s.%s: %s (%s)\n", e.Package, test, listed.cause, listed.issue))
+			r.print(fmt.Sprintf("known red: %s.%s: %s (%s)\n", e.Package, test, listed.seen, listed.issue))
 			r.print(indent(run.outputOf(test)))
 		} else {
 			unlisted = append(unlisted, test)
@@ -216,6 +216,8 @@
 	known := 0
 	for i, e := range r.list {
 		switch s := r.sightings[i]; {
+		case e.isCase():
+			r.print(fmt.Sprintf("known red, not run here: %s, `%s`, %s: %s (%s)\n", e.name(), e.command, e.seed, e.seen, e.issue))
 		case len(s.packages) == 0:
 			r.fail("%s is listed as known red and does not exist", e.name())
 		case len(s.packages) > 1:
@@ -225,7 +227,7 @@
 			r.fail("%s is listed as known red and did not fail: take it off the list", e.name())
 		default:
 			known++
-			r.print(fmt.Sprintf("known red, not counted below: %s, %s, %s\n", e.name(), e.cause, e.issue))
+			r.print(fmt.Sprintf("known red, not counted below: %s, %s, %s\n", e.name(), e.seen, e.issue))
 		}
 	}
 	if r.passed == 0 && known == 0 {
