Review: one failed message stops a shard's messages while a worker drains

Of two workers one leaves as planned. A message that the other one failed once waits for another worker, and everything behind it waits with it, though the sound worker is idle: those that drain count as others to turn to.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 	"spoiled-seal": spoiledSeal,
 	"long-absence": longAbsence,
 	"deferred":     deferredOverRoll,
+	"one-leaves":   oneLeaves,
 }
 
 // session is one play of a case.
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -33,12 +33,28 @@
 	slots   int
 	// spoil tells whether to spoil the next answer.
 	spoil func(worker *worker, count int) bool
+	// fails tells whether a message fails (500).
+	fails func(attempt string) bool
 	ran   func(run)
 
-	addr  string
-	mu    sync.Mutex
-	seq   int
-	count int
+	addr     string
+	mu       sync.Mutex
+	seq      int
+	count    int
+	draining bool
+}
+
+// leave says that it drains; it serves on.
+func (w *worker) leave() bool {
+	w.mu.Lock()
+	w.draining = true
+	w.mu.Unlock()
+	for _, control := range w.fleet.controls() {
+		if status, _ := w.heartbeat(control); status == http.StatusOK {
+			return true
+		}
+	}
+	return false
 }
 
 // start listens and registers.
@@ -61,18 +77,25 @@
 	return nil
 }
 
+// heartbeat makes one call to a control process.
+func (w *worker) heartbeat(control string) (int, string) {
+	w.mu.Lock()
+	w.seq++
+	state := "in_service"
+	if w.draining {
+		state = "draining"
+	}
+	body := fmt.Sprintf(`{"service_ref":%q,"transport_addr":%q,"avail_zone":%q,"config_release":"v1","capacity_slots":%d,"op_state":%q,"warmup_left_ms":0,"call_seq":%d}`,
+		w.service, w.addr, w.zone, w.slots, state, w.seq)
+	w.mu.Unlock()
+	return call(http.MethodPut, "http://"+control+"/v1/instances/"+w.id, map[string]string{"Content-Type": "application/json"}, body)
+}
+
 // heartbeats registers, about every beat_ms.
 func (w *worker) heartbeats() {
 	for turn := 0; ; {
-		w.mu.Lock()
-		w.seq++
-		body := fmt.Sprintf(`{"service_ref":%q,"transport_addr":%q,"avail_zone":%q,"config_release":"v1","capacity_slots":%d,"op_state":"in_service","warmup_left_ms":0,"call_seq":%d}`,
-			w.service, w.addr, w.zone, w.slots, w.seq)
-		w.mu.Unlock()
 		controls := w.fleet.controls()
-		status, _ := call(http.MethodPut, "http://"+controls[turn%len(controls)]+"/v1/instances/"+w.id,
-			map[string]string{"Content-Type": "application/json"}, body)
-		if status != http.StatusOK {
+		if status, _ := w.heartbeat(controls[turn%len(controls)]); status != http.StatusOK {
 			turn++
 			time.Sleep(100 * time.Millisecond)
 			continue
@@ -112,6 +135,12 @@
 	w.count++
 	count := w.count
 	w.mu.Unlock()
+	if w.fails != nil && w.fails(attempt) {
+		x.status, x.answered = 500, time.Now()
+		w.ran(x)
+		return fmt.Appendf(nil, "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\nX-Server-Load: 0,0,%d\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n",
+			attempt, w.slots)
+	}
 	seal := []byte(fmt.Sprintf("%s.%04x", w.id, count))
 	if w.spoil != nil && w.spoil(w, count) {
 		x.spoiled = true
