--- a/review/standin-2/one_leaves.go
+++ b/review/standin-2/one_leaves.go
@@ -87,3 +87,25 @@
 	s.say("%.1f s: %d messages are queued that no worker has had, with a worker idle", time.Since(began).Seconds(), lost)
 	return lost == 0, nil
 }
+
+// handIn hands a message in; it gives its name.
+func handIn(s *session, front, id string, delay time.Duration) (string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+front+"/rooms/house-7", strings.NewReader("two rooms less"))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Time-Remaining", "1200")
+	r.Header.Set("X-Defer-Ms", fmt.Sprint(delay.Milliseconds()))
+	answer, err := caller.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	name := answer.Header.Get("X-Message-Id")
+	s.note("sent %s answer %d name %s", id, answer.StatusCode, name)
+	if answer.StatusCode != http.StatusAccepted {
+		return "", fmt.Errorf("answer %d", answer.StatusCode)
+	}
+	return name, nil
+}
