--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -61,8 +61,8 @@
 	for range 50 {
 		network, port = 20+rand.IntN(220), 20000+20*rand.IntN(400)
 		free := true
-		for _, host := range []int{1, 2, 3, 101, 102, 103, 151, 167, 183} {
-			for _, p := range []int{port, port + 1, port + 2, port + 10, port + 11, port + 12} {
+		for _, host := range []int{1, 2, 3, 101, 102, 103, 151, 167, 183, 250} {
+			for _, p := range []int{port, port + 1, port + 2, port + 10, port + 11, port + 12, port + 15} {
 				l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:%d", network, host, p))
 				if err != nil {
 					free = false
