--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -2,9 +2,9 @@
 // project's own programs as processes on loopback addresses, plays clients, workers, the
 // platform and the operator towards them, and checks one rule from outside.
 //
-// Usage: standin-2 CASE FOLDER, from the root of the project. It exits with 1 if the rule
-// was broken, with 0 if it held, and with 2 if the case couldn't run. TROUBLE=0 in the
-// environment leaves the disruption out.
+// Usage: standin-2 CASE FOLDER TROUBLE, from the root of the project. It exits with 1 if the
+// rule was broken, with 0 if it held, and with 2 if the case couldn't run. TROUBLE is 0 to leave
+// the disruption out; anything else plays it.
 package main
 
 import (
@@ -58,22 +58,22 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE FOLDER TROUBLE")
 		os.Exit(failed)
 	}
-	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Args[3] != "0"))
 }
 
-// play runs a case, and ends all that it started.
-func play(run func(*session) (bool, error), folder string) int {
+// play runs a case, with the disruption or without, and ends all that it started.
+func play(run func(*session) (bool, error), folder string, trouble bool) int {
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
 	defer record.Close()
-	s := &session{trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record}
+	s := &session{trouble: trouble, began: time.Now(), record: record}
 	s.fleet = &fleet{session: s}
 	defer s.fleet.end()
 	type result struct {
