Replicas report commands they leave out, and stores why messages wait

A replica that can't decode a decided command passed over it in silence (statemachine.EachCommand, control.State.Apply), and a service whose messages stand still was not mentioned anywhere.

Change: the invariant commands-run counts and logs a decided command that is left out, because it can't be decoded or because its verb is unknown here. The event messages-wait says that a service's messages have stood still for 2 s, and how its workers are. An unknown verb of control no longer ends the process that logs it. What is decided stays as it was.

Tests of statemachine, control, queue, topic, dispatch, simulation, invariant, metrics and process pass. The whole suite was not run on this commit.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -49,7 +51,16 @@
 	"add-voter",
 }
 
-func (v Verb) String() string { return verbNames[v] }
+// String names the verb, as logs have it.
+func (v Verb) String() string {
+	if int(v) >= len(verbNames) {
+		return fmt.Sprintf("verb-%d", uint8(v))
+	}
+	return verbNames[v]
+}
+
+// known tells whether this version has the verb.
+func (v Verb) known() bool { return v > 0 && int(v) < len(verbNames) }
 
 // Command to the control group.
 type Command struct {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -19,6 +19,7 @@
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
+	"oxbowdeck/internal/statemachine"
 )
 
 // State is what the control group agrees on.
@@ -63,9 +64,11 @@
 	if len(d.Value.Members) > 0 {
 		s.Voters = d.Value.Members
 	}
+	var leftOut []statemachine.LeftOut
 	for _, r := range paxos.Order(d.Value.Reqs) {
 		var c Command
 		if err := codec.Unmarshal(r.Data, &c); err != nil {
+			leftOut = append(leftOut, statemachine.LeftOut{Slot: d.Slot, ID: r.ID, Err: err})
 			continue
 		}
 		origin, result := s.session(r.ID, c.Low)
@@ -75,6 +78,10 @@
 			}
 			continue
 		}
+		if !c.Verb.known() {
+			err := statemachine.UnknownVerbError(c.Verb)
+			leftOut = append(leftOut, statemachine.LeftOut{Slot: d.Slot, ID: r.ID, Err: err})
+		}
 		result, update := s.run(&c)
 		if update {
 			changed = true
@@ -83,6 +90,9 @@
 		origin.record(r.ID.Seq, result)
 		answer(r.ID, result)
 	}
+	for _, command := range leftOut {
+		command.Report()
+	}
 	return changed
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -30,6 +30,7 @@
 type readyQueue struct {
 	order  []ids.Position
 	queued map[ids.Position]bool
+	stall  stall
 }
 
 // add takes in a message that is not there yet.
@@ -215,6 +216,9 @@
 		done++
 	}
 	ready.dropFirst(done)
+	if ready.stall.note(now, done == 0 && len(ready.order) > 0) {
+		s.reportStall(now, service, ready)
+	}
 }
 
 // workerToAvoid is the worker that failed a message last.
--- a/internal/invariant/names.go
+++ b/internal/invariant/names.go
@@ -34,6 +34,8 @@
 	OneAttemptPerSequence Name = "one-attempt-per-sequence"
 	// AttemptsWithinBudget: a message is not sent after its last attempt.
 	AttemptsWithinBudget Name = "attempts-within-budget"
+	// CommandsRun: a replica leaves no decided command out.
+	CommandsRun Name = "commands-run"
 	// GrantsWithinBudget: no more tokens are granted than are in a tenant's account.
 	GrantsWithinBudget Name = "grants-within-budget"
 	// QueuesBounded: what waits for a peer, a client or a disk stays within its bound.
@@ -44,7 +46,7 @@
 	AcceptedIsSynced, DecidedByMajority, DecidedOnce, AppliedInOrder, EpochNeverFalls,
 	ReleaseNeverFalls, AnsweredWithinLease, OneSuccessor, DeliveredInOrder, SenderInOrder,
 	RetryIsFinal, AnswerBelongs, OneAttemptPerSequence, AttemptsWithinBudget,
-	GrantsWithinBudget, QueuesBounded,
+	GrantsWithinBudget, QueuesBounded, CommandsRun,
 }
 
 // Names lists all invariants.
--- a/internal/queue/apply.go
+++ b/internal/queue/apply.go
@@ -55,6 +55,9 @@
 			granted := s.accounts.Apply(s.Clock(), *command.Reserve)
 			emit(Event{Verb: Reserve, ID: id, Reserve: command.Reserve, Granted: granted})
 		}
+	default:
+		err := statemachine.UnknownVerbError(command.Verb)
+		statemachine.LeftOut{Slot: pos.Slot(), ID: id, Err: err}.Report()
 	}
 }
 
--- a/internal/statemachine/progress.go
+++ b/internal/statemachine/progress.go
@@ -34,13 +34,19 @@
 }
 
 // EachCommand decodes the commands of an instance in their agreed order. One that
-// can't be decoded is left out: the same bytes fail alike everywhere.
+// can't be decoded is left out, since the same bytes fail alike everywhere, and reported
+// once the others have run.
 func EachCommand[C any](decided paxos.Decided, run func(paxos.ID, ids.Position, *C)) {
+	var leftOut []LeftOut
 	for i, request := range paxos.Order(decided.Value.Reqs) {
 		var command C
-		if codec.Unmarshal(request.Data, &command) != nil {
+		if err := codec.Unmarshal(request.Data, &command); err != nil {
+			leftOut = append(leftOut, LeftOut{Slot: decided.Slot, ID: request.ID, Err: err})
 			continue
 		}
 		run(request.ID, ids.MakePosition(decided.Slot, i), &command)
 	}
+	for _, command := range leftOut {
+		command.Report()
+	}
 }
--- a/internal/statemachine/statemachine_test.go
+++ b/internal/statemachine/statemachine_test.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/invariant"
 	"oxbowdeck/internal/paxos"
 )
 
@@ -123,7 +124,7 @@
 }
 
 // TestEachCommand: commands come in the agreed order, with a place each, and one that
-// can't be decoded leaves its place empty.
+// can't be decoded leaves its place empty and is reported.
 func TestEachCommand(t *testing.T) {
 	encode := func(name string) []byte {
 		b, err := cbor.Marshal(testRow{Name: name})
@@ -139,9 +140,11 @@
 	}}}
 	var names []string
 	var places []ids.Position
-	EachCommand(decided, func(id paxos.ID, pos ids.Position, command *testRow) {
-		names = append(names, id.Origin+" "+command.Name)
-		places = append(places, pos)
+	invariant.Expect(t, invariant.CommandsRun, func() {
+		EachCommand(decided, func(id paxos.ID, pos ids.Position, command *testRow) {
+			names = append(names, id.Origin+" "+command.Name)
+			places = append(places, pos)
+		})
 	})
 	if len(names) != 2 || names[0] != "a first" || names[1] != "c third" {
 		t.Fatalf("commands %v", names)
--- a/internal/topic/state.go
+++ b/internal/topic/state.go
@@ -86,5 +86,8 @@
 			event.Granted = s.accounts.Apply(s.progress.Clock, *command.Reserve)
 			emit(event)
 		}
+	default:
+		err := statemachine.UnknownVerbError(command.Verb)
+		statemachine.LeftOut{Slot: pos.Slot(), ID: id, Err: err}.Report()
 	}
 }
