Codec: what the decoder refuses is an error of whoever encodes it

Cause: codec set the decoder's options alone, and everybody called the library's encoder, which writes any bytes as text.

Change: codec.Marshal and codec.Encoder write, and fail for an item that the decoder's options refuse (form, nesting, text). Everything outside tests uses them. A link's Hello that can't be encoded ends the link with a log line; before, its error was dropped. Bytes on disks and on the wire are the same, and the decoder is as strict as it was: replicas of two versions still agree on what they leave out.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -3,8 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -55,7 +54,7 @@
 	if len(c.waiting) > 0 {
 		cmd.Low = c.waiting[0].id.Seq
 	}
-	encoded, err := cbor.Marshal(cmd)
+	encoded, err := codec.Marshal(cmd)
 	if err != nil {
 		done(0, false)
 		return
--- a/internal/control/enroll.go
+++ b/internal/control/enroll.go
@@ -3,8 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -75,7 +74,7 @@
 // sendBootstrap sends the bootstrap of the update over a link.
 func (c *Control) sendBootstrap(conn controlapi.Conn) {
 	if c.bootstrap == nil || c.bootstrapAt != c.state.UpdatedAt {
-		b, err := cbor.Marshal(c.state.Update().Bootstrap())
+		b, err := codec.Marshal(c.state.Update().Bootstrap())
 		if err != nil {
 			c.out.Log("encode-failed", "kind", controlapi.KindUpdate, "err", err)
 			return
--- a/internal/control/format.go
+++ b/internal/control/format.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
@@ -35,7 +33,7 @@
 }
 
 // Save gives the state's bytes; equal states give equal bytes.
-func (s *State) Save() ([]byte, error) { return cbor.Marshal(s) }
+func (s *State) Save() ([]byte, error) { return codec.Marshal(s) }
 
 // Load reads a saved state, also one of the first format. On an error the state
 // is as it was.
--- a/internal/controlapi/update.go
+++ b/internal/controlapi/update.go
@@ -3,8 +3,7 @@
 import (
 	"log/slog"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/transport"
 )
@@ -95,7 +94,7 @@
 	b, ok := s.packed[seq]
 	if !ok {
 		var err error
-		if b, err = cbor.Marshal(s.Update.Since(seq)); err != nil {
+		if b, err = codec.Marshal(s.Update.Since(seq)); err != nil {
 			slog.Warn("encode-failed", "kind", KindUpdate, "err", err)
 			return seq
 		}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -11,8 +11,7 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -142,7 +141,7 @@
 // request makes a request of a command.
 func (h *Host) request(command queue.Command) (paxos.Request, error) {
 	h.seq++
-	data, err := cbor.Marshal(command)
+	data, err := codec.Marshal(command)
 	return paxos.Request{ID: paxos.ID{Origin: h.origin, Seq: h.seq}, Data: data}, err
 }
 
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -3,8 +3,7 @@
 import (
 	"strconv"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/invariant"
@@ -94,7 +93,7 @@
 
 // submit puts a command on its way to its group's leader.
 func (d *Daemon) submit(now ids.Millis, x *call, id paxos.ID, cmd topic.Command) {
-	b, err := cbor.Marshal(cmd)
+	b, err := codec.Marshal(cmd)
 	if err != nil {
 		return
 	}
--- a/internal/heartbeat/detector.go
+++ b/internal/heartbeat/detector.go
@@ -10,8 +10,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/errs"
@@ -227,7 +225,7 @@
 	}
 	late := now - w.heartbeatAt // a process that was itself held up judges nobody
 	w.heartbeatAt = now + w.Heartbeat
-	if b, err := cbor.Marshal(heartbeat{Node: w.Self, Incarnation: w.Incarnation}); err == nil {
+	if b, err := codec.Marshal(heartbeat{Node: w.Self, Incarnation: w.Incarnation}); err == nil {
 		for _, d := range w.sendTo {
 			w.conn.WriteToUDP(append(d.header, b...), d.addr)
 		}
--- a/internal/httpedge/calls.go
+++ b/internal/httpedge/calls.go
@@ -1,8 +1,7 @@
 package httpedge
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/dispatch"
 	"oxbowdeck/internal/ids"
@@ -50,7 +49,7 @@
 
 // propose has a message decided, and waits for that.
 func (d *Daemon) propose(route *controlapi.Space, m *queue.Message, wait ids.Millis) outcome {
-	b, err := cbor.Marshal(queue.Command{Verb: queue.Accept, Msg: m})
+	b, err := codec.Marshal(queue.Command{Verb: queue.Accept, Msg: m})
 	if err != nil {
 		return outcome{verdict: verdictNever, reason: "the message can't be encoded"}
 	}
--- a/internal/modelcheck/network.go
+++ b/internal/modelcheck/network.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"reflect"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -54,7 +52,7 @@
 	if p.snap != nil {
 		key = canon(append(key, 's'), reflect.ValueOf(p.snap))
 	} else {
-		raw, err := cbor.Marshal(p.msg)
+		raw, err := codec.Marshal(p.msg)
 		if err != nil {
 			panic(err) // the type is fixed
 		}
--- a/internal/paxos/types.go
+++ b/internal/paxos/types.go
@@ -8,8 +8,6 @@
 import (
 	"sort"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 )
@@ -210,9 +208,9 @@
 func Decode(raw []byte) (Value, error) { return decode(raw) }
 
 func encode(v Value) []byte {
-	b, err := cbor.Marshal(v)
+	b, err := codec.Marshal(v)
 	if err != nil {
-		panic(err) // the type is fixed: this cannot fail at run time
+		panic(err) // its type is fixed, and its texts were decoded or name this process
 	}
 	return b
 }
--- a/internal/queue/encoding.go
+++ b/internal/queue/encoding.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/quota"
@@ -39,11 +37,11 @@
 func (c Command) MarshalCBOR() ([]byte, error) {
 	switch {
 	case c.Reserve != nil:
-		return cbor.Marshal(tenantCommand{Verb: c.Verb, Reserve: c.Reserve})
+		return codec.Marshal(tenantCommand{Verb: c.Verb, Reserve: c.Reserve})
 	case c.Msg != nil && c.Msg.Tenant != "":
-		return cbor.Marshal(tenantCommand{Verb: c.Verb, Msg: c.Msg, Tenant: c.Msg.Tenant})
+		return codec.Marshal(tenantCommand{Verb: c.Verb, Msg: c.Msg, Tenant: c.Msg.Tenant})
 	}
-	return cbor.Marshal(plainCommand(c))
+	return codec.Marshal(plainCommand(c))
 }
 
 // VerbOf reads the verb of an encoded command from its first bytes, however long its message
--- a/internal/simulation/callers.go
+++ b/internal/simulation/callers.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/control"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/transport"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // anyone draws a machine to turn to, of those there ever were.
@@ -219,7 +218,7 @@
 			}
 		}
 	}}
-	b, err := cbor.Marshal(controlapi.Enroll{Node: n})
+	b, err := codec.Marshal(controlapi.Enroll{Node: n})
 	if err != nil {
 		f.fail("encode: %v", err)
 	}
--- a/internal/simulation/clients.go
+++ b/internal/simulation/clients.go
@@ -3,8 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/control"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -53,7 +52,7 @@
 		Keep:   2000,
 		Edge:   "e",
 	}
-	data, err := cbor.Marshal(command)
+	data, err := codec.Marshal(command)
 	if err != nil {
 		w.fail("encode: %v", err)
 	}
@@ -92,7 +91,7 @@
 		id := paxos.ID{Origin: operator + "x", Seq: w.putSeq}
 		w.puts[id] = p
 		body := []byte(fmt.Sprint("config ", w.putSeq))
-		data, err := cbor.Marshal(control.Command{Verb: control.Put, Match: p.match, Release: p.release, Body: body})
+		data, err := codec.Marshal(control.Command{Verb: control.Put, Match: p.match, Release: p.release, Body: body})
 		if err != nil {
 			w.fail("encode: %v", err)
 		}
--- a/internal/simulation/control_process.go
+++ b/internal/simulation/control_process.go
@@ -3,8 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/control"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
@@ -58,7 +57,7 @@
 }
 
 func (p *proc) Send(to ids.Node, k transport.Kind, v any) bool {
-	b, err := cbor.Marshal(v)
+	b, err := codec.Marshal(v)
 	if err != nil {
 		p.f.fail("encode: %v", err)
 	}
--- a/internal/simulation/fleet_network.go
+++ b/internal/simulation/fleet_network.go
@@ -1,8 +1,6 @@
 package simulation
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
@@ -18,7 +16,7 @@
 }
 
 func (l *line) Send(k transport.Kind, v any) bool {
-	b, err := cbor.Marshal(v)
+	b, err := codec.Marshal(v)
 	return err == nil && l.SendRaw(k, b)
 }
 
@@ -67,7 +65,7 @@
 
 func (f *Fleet) message(p *proc, s paxos.Envelope) {
 	m := f.at(s.To)
-	raw, err := cbor.Marshal(s.Msg)
+	raw, err := codec.Marshal(s.Msg)
 	if err != nil {
 		f.fail("encode: %v", err)
 	}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -1,8 +1,6 @@
 package simulation
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -19,7 +17,7 @@
 	if !w.healed && w.rng.Float64() < w.plan.Twice {
 		copies++
 	}
-	raw, err := cbor.Marshal(s.Msg)
+	raw, err := codec.Marshal(s.Msg)
 	if err != nil {
 		w.fail("encode: %v", err)
 	}
--- a/internal/statemachine/snapshot.go
+++ b/internal/statemachine/snapshot.go
@@ -16,14 +16,14 @@
 // the encoder hold the whole state twice. The first error ends the writing.
 type SnapshotWriter struct {
 	buffer  *bytes.Buffer
-	encoder *cbor.Encoder
+	encoder *codec.Encoder
 	err     error
 }
 
 // NewSnapshotWriter makes room for about so many bytes.
 func NewSnapshotWriter(size int) *SnapshotWriter {
 	buffer := bytes.NewBuffer(make([]byte, 0, size+headerRoom))
-	return &SnapshotWriter{buffer: buffer, encoder: cbor.NewEncoder(buffer)}
+	return &SnapshotWriter{buffer: buffer, encoder: codec.NewEncoder(buffer)}
 }
 
 // Write appends an item.
--- a/internal/storage/rows.go
+++ b/internal/storage/rows.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/binary"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/syndtr/goleveldb/leveldb"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 )
@@ -80,10 +80,10 @@
 	for _, r := range j.records {
 		head = headRow{Promised: r.Promised, Commit: r.Commit}
 		if r.Entry != nil {
-			row, _ := cbor.Marshal(entryRow{Ballot: r.Entry.Ballot, Val: r.Entry.Val})
+			row, _ := codec.Marshal(entryRow{Ballot: r.Entry.Ballot, Val: r.Entry.Val})
 			b.Put(key(j.group, entryKind, r.Entry.Slot), row)
 		}
 	}
-	row, _ := cbor.Marshal(head)
+	row, _ := codec.Marshal(head)
 	b.Put(key(j.group, headKind, 0), row)
 }
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -6,8 +6,7 @@
 	"hash"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
 )
@@ -106,7 +105,7 @@
 // finishSnapshot writes a snapshot's head, and drops the rows of the one before it and
 // the entries that it covers.
 func (d *DB) finishSnapshot(j *job, rows uint32) (done bool, err error) {
-	head, err := cbor.Marshal(snapHead{
+	head, err := codec.Marshal(snapHead{
 		Slot:        j.snapshot.Slot,
 		Memberships: j.snapshot.Memberships,
 		Gen:         j.generation,
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -3,11 +3,11 @@
 import (
 	"log/slog"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/opt"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/errs"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/invariant"
@@ -75,7 +75,7 @@
 func (d *DB) PutAll(vals map[string]any) error {
 	rows := map[string][]byte{}
 	for name, val := range vals {
-		row, err := cbor.Marshal(val)
+		row, err := codec.Marshal(val)
 		if err != nil {
 			return errs.Wrap("encode "+name, "disk", err)
 		}
@@ -96,7 +96,7 @@
 // PutAsync queues a small row of the process itself; the caller does not wait. One of
 // the same name that is still queued is replaced.
 func (d *DB) PutAsync(name string, val any) {
-	row, err := cbor.Marshal(val)
+	row, err := codec.Marshal(val)
 	if err != nil {
 		slog.Warn("encode-failed", "row", name, "err", err)
 		return
--- a/internal/store/home_edges.go
+++ b/internal/store/home_edges.go
@@ -4,8 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/shardapi"
@@ -75,7 +74,7 @@
 			heartbeat.Stale = append(heartbeat.Stale, group)
 		}
 	}
-	body, err := cbor.Marshal(heartbeat)
+	body, err := codec.Marshal(heartbeat)
 	if err != nil {
 		return
 	}
--- a/internal/store/leader_duties.go
+++ b/internal/store/leader_duties.go
@@ -4,8 +4,7 @@
 	"log/slog"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/dispatch"
 	"oxbowdeck/internal/ids"
@@ -126,7 +125,7 @@
 // submitEdgeGone has the end of an edge's incarnation decided.
 func (l *leaderDuties) submitEdgeGone(group ids.Group, edge topic.EdgeIncarnation) {
 	command := topic.Command{Verb: topic.EdgeGone, Edge: edge.Edge, Incarnation: edge.Incarnation}
-	data, err := cbor.Marshal(command)
+	data, err := codec.Marshal(command)
 	if err != nil {
 		return
 	}
--- a/internal/store/quotas.go
+++ b/internal/store/quotas.go
@@ -4,9 +4,8 @@
 	"log/slog"
 	"strconv"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oxbowdeck/internal/admission"
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -218,7 +217,7 @@
 // encodeReserve encodes a reservation as a command of the state machine that runs here.
 func (d *Daemon) encodeReserve(reserve *quota.Reserve) ([]byte, error) {
 	if d.queue != nil {
-		return cbor.Marshal(queue.Command{Verb: queue.Reserve, Reserve: reserve})
+		return codec.Marshal(queue.Command{Verb: queue.Reserve, Reserve: reserve})
 	}
-	return cbor.Marshal(topic.Command{Verb: topic.Reserve, Reserve: reserve})
+	return codec.Marshal(topic.Command{Verb: topic.Reserve, Reserve: reserve})
 }
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -6,8 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/invariant"
 )
@@ -54,7 +53,7 @@
 
 // Send queues one frame; false when the link is dead or its queue is full.
 func (l *Link) Send(k Kind, v any) bool {
-	b, err := cbor.Marshal(v)
+	b, err := codec.Marshal(v)
 	if err != nil {
 		slog.Warn("encode-failed", "kind", k, "err", err)
 		return false
--- a/internal/transport/writer.go
+++ b/internal/transport/writer.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"net"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/flate"
+
+	"oxbowdeck/internal/codec"
 )
 
 // keptBuffer bounds the buffers that a link keeps from one write to the next.
@@ -57,8 +59,12 @@
 func (l *Link) writeHello(c net.Conn, pack bool) bool {
 	hello := l.hub.self
 	hello.Pack = pack
-	body, _ := cbor.Marshal(hello)
-	_, err := c.Write(appendFrame(nil, kindHello, body))
+	body, err := codec.Marshal(hello)
+	if err != nil {
+		slog.Warn("encode-failed", "kind", kindHello, "err", err)
+		return false
+	}
+	_, err = c.Write(appendFrame(nil, kindHello, body))
 	return err == nil
 }
 
