Dispatch: an end that can't be encoded does not hold up others

Cause: the ends of attempts that are due in one moment share a command.

Change: ends that can't be encoded together go one by one. The one at fault is replaced by an end that says that nothing is known of its attempt, and logged as encode-failed.

--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -88,6 +88,8 @@
 	held   func(paxos.Request) bool // takes a request out of the order, for a while
 	update *controlapi.Update
 	owners []ids.Tenant // whose the messages are, in turn; none: nobody's
+
+	spoilSeal func(*simMsg) bool // tells whether a byte of the seal just given is spoiled
 }
 
 func (s *sim) fault(format string, a ...any) {
@@ -276,7 +278,12 @@
 	default:
 		seal := ""
 		s.in(work, func() { seal = s.success(m) })
-		s.in(work+1, func() { tell(0, Result{outcome: queue.Done, seal: seal}) })
+		s.in(work+1, func() {
+			if s.spoilSeal != nil && s.spoilSeal(m) {
+				seal += "\xff"
+			}
+			tell(0, Result{outcome: queue.Done, seal: seal})
+		})
 	}
 }
 
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -43,7 +43,7 @@
 	}
 	ends := s.dueEnds(now)
 	if len(ends) > 0 && s.leader != "" {
-		s.submit(group, queue.Command{Verb: queue.End, Attempts: ends})
+		s.submitEnds(group, ends)
 		submitted = true
 	}
 	return submitted
@@ -51,13 +51,16 @@
 
 // submitBeginnings puts the beginnings to the group that is led here.
 func (s *Shard) submitBeginnings(now ids.Millis, group Group) {
-	taken := s.submit(group, queue.Command{
+	request, err := s.host.request(queue.Command{
 		Verb:        queue.Begin,
 		Attempts:    s.beginnings,
 		By:          s.host.Self.Addr,
 		Incarnation: s.host.Self.Incarnation,
 	})
-	if !taken {
+	if err != nil {
+		slog.Warn("encode-failed", "group", s.group, "err", err)
+	}
+	if err != nil || !s.submitRequest(group, request) {
 		for _, attempt := range s.beginnings {
 			s.release(attempt.Pos)
 			s.scheduleAt(now+releaseRetry, attempt.Pos)
@@ -66,6 +69,32 @@
 	s.beginnings = nil
 }
 
+// submitEnds puts ends to the group in one command. If that can't be encoded, each end goes
+// alone, so that the one at fault does not keep the others from being decided.
+func (s *Shard) submitEnds(group Group, ends []queue.Attempt) {
+	request, err := s.host.request(queue.Command{Verb: queue.End, Attempts: ends})
+	switch {
+	case err == nil:
+		s.submitRequest(group, request)
+	case len(ends) == 1:
+		s.giveUpEnd(ends[0], err)
+	default:
+		for _, end := range ends {
+			s.submitEnds(group, []queue.Attempt{end})
+		}
+	}
+}
+
+// giveUpEnd replaces an end that can't be encoded by one that says that nothing is known of
+// the attempt.
+func (s *Shard) giveUpEnd(end queue.Attempt, err error) {
+	slog.Warn("encode-failed", "group", s.group, "pos", end.Pos, "outcome", end.Outcome, "err", err)
+	if pending := s.ends[end.Pos]; pending != nil {
+		pending.attempt = queue.Attempt{Pos: end.Pos, Number: end.Number, Outcome: queue.Lost}
+		pending.submitted = false
+	}
+}
+
 // dueEnds gives the ends that are to be submitted now. One that was done, or never
 // can be, is kept until it is decided, since its message must not be sent again from
 // here; no others begin while these can't be decided, so they stay few.
@@ -91,14 +120,9 @@
 // final tells whether a message must not be sent again after such an attempt.
 func final(outcome queue.Outcome) bool { return outcome == queue.Done || outcome == queue.Never }
 
-// submit puts a command to the group, here or at its leader; it tells whether it was
+// submitRequest puts a request to the group, here or at its leader; it tells whether it was
 // taken.
-func (s *Shard) submit(group Group, command queue.Command) bool {
-	request, err := s.host.request(command)
-	if err != nil {
-		slog.Warn("encode-failed", "err", err)
-		return false
-	}
+func (s *Shard) submitRequest(group Group, request paxos.Request) bool {
 	if s.leading {
 		return group.Submit(request) == nil
 	}
