Dispatch: a success whose seal is not text tells nothing of its run

Cause: judge took any bytes of X-Server-Seal for a seal.

Change: an answer of 2xx with such a seal counts as one without a seal: its run is over, it counts against the worker, its connection is closed, and the log of the attempt says why.

Result: TestAttempts, "a seal that is not text": before "done, kind 0, 1 idle; want lost". A seal with a control byte was refused before by the reader of answers; a row shows it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -116,7 +116,7 @@
 		if !result.final() {
 			c.unfinished = append(c.unfinished, a.message.ID)
 		}
-		if strange || response.Close || c.reader.Buffered() > 0 || len(c.unfinished) > maxUnfinished {
+		if strange || response.Close || result.err != nil || c.reader.Buffered() > 0 || len(c.unfinished) > maxUnfinished {
 			c.conn.Close()
 		} else {
 			pool.put(c, keepAliveTime(response.Header.Get("Keep-Alive")))
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -130,6 +130,8 @@
 		{"never, of no message", nameless(422, ""), queue.Lost, silent, 0, true},
 		{"done, of two messages", nameless(200, twoNames), queue.Lost, silent, 0, true},
 		{"no seal", status(200, ""), queue.Lost, answered, 1, false},
+		{"a seal that is not text", status(200, "X-Server-Seal: 3e\xff1b\r\n"), queue.Lost, answered, 0, false},
+		{"a seal with a control byte", status(200, "X-Server-Seal: 3e\x011b\r\n"), queue.Lost, silent, 0, true},
 		{"failed", status(500, ""), queue.Failed, answered, 1, false},
 		{"never", status(422, ""), queue.Never, answered, 1, false},
 		{"full", status(503, "X-Not-Executed: 1\r\n"), queue.NotRun, refused, 1, false},
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"time"
+	"unicode/utf8"
 
 	"oxbowdeck/internal/queue"
 )
@@ -47,6 +48,10 @@
 // what comes before it, it is at most twice that.
 const maxAnswerBytes = 256 << 10
 
+// errSpoiledSeal tells that the seal of a success is no text, so that it can't be told which
+// run succeeded.
+var errSpoiledSeal = errors.New("the seal of a success is not UTF-8")
+
 // judge tells what a whole answer that names the message means. The run it answers
 // is over, whatever it says.
 func judge(response *http.Response) Result {
@@ -59,6 +64,10 @@
 	case response.Header.Get("X-Not-Executed") != "" || result.status == http.StatusMisdirectedRequest:
 		result.outcome = queue.NotRun
 		result.kind = refused
+	case result.status >= 200 && result.status < 300 && !utf8.ValidString(seal):
+		result.outcome = queue.Lost
+		result.failed = true
+		result.err = errSpoiledSeal
 	case result.status >= 200 && result.status < 300 && seal != "":
 		result.outcome = queue.Done
 		result.seal = seal
