HTTP edge: a message whose names are not text is answered 400 at once

Callers saw 504 "not decided in time" after 2.5 s for a message with a byte 0xff in its sequence key, path or type. Cause: the names of a message are encoded as text and were not looked at where they come in, so that no replica could read the command. Since the codec refuses to encode them the answer was 503 "can't be encoded", which invites the client to come again.

Change: method, Host, path, Content-Type and X-Sequence-Key must be UTF-8; 400 names the one that is not.

--- a/internal/httpedge/handle.go
+++ b/internal/httpedge/handle.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"oxbowdeck/internal/compression"
 	"oxbowdeck/internal/controlapi"
@@ -166,8 +167,28 @@
 	return true
 }
 
+// fieldNotText names the first part of a message that is kept as text and is none.
+func fieldNotText(msg *queue.Message) (name string, found bool) {
+	for _, field := range []struct{ name, value string }{
+		{"method", msg.Method},
+		{"Host", msg.Host},
+		{"path", msg.Path},
+		{"Content-Type", msg.Type},
+		{"X-Sequence-Key", msg.Key},
+	} {
+		if !utf8.ValidString(field.value) {
+			return field.name, true
+		}
+	}
+	return "", false
+}
+
 // checkHeaders turns a message down whose names are too long or malformed.
 func checkHeaders(w http.ResponseWriter, msg *queue.Message) bool {
+	if name, found := fieldNotText(msg); found {
+		writeError(w, http.StatusBadRequest, name+" must be text in UTF-8")
+		return false
+	}
 	switch {
 	case !attemptID.MatchString(msg.ID):
 		writeError(w, http.StatusBadRequest, "X-Attempt-Id must be 1 to 60 letters, digits or -_.")
