Control: an order to empty a machine whose name is not text is answered 404

Cause: POST /v1/retire/%ff put a command into the control group's order that no replica could read; whoever called waited in vain and was told to come again. Since the codec refuses such commands it was 503, for a machine that can't exist.

Change: 404 "no such storage machine", without asking the group. The ids of workers were checked before; other names come out of JSON, whose decoder gives UTF-8 alone.

Result: TestBadCalls, "name that is not text"; before, the replica left the command out and the test ends with a violation of commands-run.

--- a/internal/controlhttp/bad_test.go
+++ b/internal/controlhttp/bad_test.go
@@ -151,6 +151,7 @@
 		{"longer path", "PUT", config + "/7", "7", next, 404},
 		{"unknown machine", "POST", "/v1/retire/s9", "", `{"ramp_s":10}`, 404},
 		{"odd name", "POST", "/v1/retire/s%000", "", `{"ramp_s":10}`, 404},
+		{"name that is not text", "POST", "/v1/retire/s%ff", "", `{"ramp_s":10}`, 404},
 		{"never asked for", "GET", store, "", "", 404},
 		{"ramp below 0", "POST", store, "", `{"ramp_s":-1}`, 400},
 		{"ramp is text", "POST", store, "", `{"ramp_s":"10"}`, 400},
--- a/internal/controlhttp/controlhttp.go
+++ b/internal/controlhttp/controlhttp.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"oxbowdeck/internal/control"
 	"oxbowdeck/internal/controlapi"
@@ -119,7 +120,12 @@
 		say(w, http.StatusBadRequest, answer{Error: "field ramp_s: must not be below 0"})
 		return
 	}
-	res, err := d.Retire(r.PathValue("node"), b.Wait)
+	name := r.PathValue("node")
+	if !utf8.ValidString(name) {
+		say(w, http.StatusNotFound, answer{Error: "no such storage machine"})
+		return
+	}
+	res, err := d.Retire(name, b.Wait)
 	switch {
 	case err != nil:
 		later(w, err)
@@ -128,7 +134,7 @@
 	case res == control.TooFew:
 		say(w, http.StatusConflict, answer{Error: "too few storage machines would be left"})
 	default:
-		slog.Info("retire", "node", r.PathValue("node"))
+		slog.Info("retire", "node", name)
 		say(w, http.StatusOK, answer{State: "active"})
 	}
 }
