Settings: a line that is not UTF-8 is refused

Cause: names out of the settings file (node_name, avail_zone) go into commands and frames as text. One that is not UTF-8 was taken at the start, and the process could then neither enrol nor greet its peers.

Change: the line is refused with its number. The same check as of other names from outside.

Result: TestSettings, "zone not text" and "name not text": both taken before.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"cuelang.org/go/cue"
 	"cuelang.org/go/cue/cuecontext"
@@ -127,6 +128,9 @@
 		if line == "" || line[0] == '#' {
 			continue
 		}
+		if !utf8.ValidString(line) {
+			return nil, fmt.Errorf("line %d: not UTF-8", n)
+		}
 		k, val, ok := strings.Cut(line, "=")
 		if !ok {
 			return nil, fmt.Errorf("line %d: no '='", n)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,6 +48,8 @@
 		"not a number":    {"timing_bounds.ping_s=2", "timing_bounds.ping_s=soon"},
 		"zero ping":       {"timing_bounds.ping_s=2", "timing_bounds.ping_s=0"},
 		"not a truth":     {"initial_start=true", "initial_start=perhaps"},
+		"zone not text":   {"avail_zone=a", "avail_zone=a\xff"},
+		"name not text":   {"node_name=edge-1", "node_name=edge\xff"},
 		"line without =":  {"region=r", "region"},
 		"unknown tuning":  {"tuning.wnd=4", "tuning.wndd=4"},
 		"tuning too high": {"tuning.wnd=4", "tuning.wnd=4000"},
