Dispatch: a message that failed holds up no others while another worker drains

Cause: a message is not sent to the worker that failed it last while its service has others. Others were all that are registered, also those that drain, are ejected, busy or full. Then no worker was found for that message, and the turn ended there: all behind it in the service's queue waited too.

Change: the worker that failed a message last is passed over only for one that can be sent to now. So no worker found means that the service as a whole takes nothing, which is the one thing that may end a turn; a turn still looks at no message behind that.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -190,7 +190,8 @@
 	}
 }
 
-// reserveFor reserves slots for the messages of one service, until there is no room.
+// reserveFor reserves slots for the messages of one service, until the service has no room.
+// What holds one message alone must not end the turn: all behind it would wait.
 func (s *Shard) reserveFor(now ids.Millis, service *service, ready *readyQueue) {
 	done := 0
 	for _, pos := range ready.order {
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 
+	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/ids"
+	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/queue"
 )
 
@@ -31,3 +34,61 @@
 		}
 	}
 }
+
+// TestOneMessageHoldsUpNoOther guards against a queue that stands still while a worker is idle:
+// its first message failed at the only worker that can be had, and waited for one that can't.
+func TestOneMessageHoldsUpNoOther(t *testing.T) {
+	const now = ids.Millis(5000)
+	for name, change := range map[string]func(other *worker){
+		"the other one drains":       func(w *worker) { w.Draining = true },
+		"the other one is ejected":   func(w *worker) { w.ejectedUntil = now + 1000 },
+		"the other one is on trial":  func(w *worker) { w.probation, w.inFlight = true, 1 },
+		"the other one has no room":  func(w *worker) { w.inFlight = defaultConnectionLimit },
+		"the other one is busy":      func(w *worker) { w.busyUntil = now + 10 },
+		"the other one's queue long": func(w *worker) { w.Slots, w.inFlight = 1, 2*loadLimit },
+		"both can be had":            func(*worker) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := found(t, 1, "")
+			s.calm = true
+			n := s.nodes[s.leader]
+			host, shard := n.host, n.shard
+			failedAt := &worker{Worker: controlapi.Worker{ID: "failed-at", Service: "list", Zone: "z", Slots: 4}}
+			other := &worker{Worker: controlapi.Worker{ID: "other", Service: "list", Zone: "z", Slots: 4}}
+			change(other)
+			usable := name == "both can be had"
+			service := host.services["list"]
+			service.near, service.far = []*worker{failedAt, other}, nil
+			host.workers = map[string]*worker{failedAt.ID: failedAt, other.ID: other}
+			ready := &readyQueue{queued: map[ids.Position]bool{}}
+			for i := range 3 {
+				pos := n.acceptPlain(t, i)
+				ready.add(pos)
+			}
+			shard.leading = true
+			shard.backoffs[ready.order[0]] = &backoff{avoid: "failed-at"}
+			first := ready.order[0]
+			shard.reserveFor(now, service, ready)
+			if len(ready.order) != 0 {
+				t.Fatalf("%d of 3 messages wait, with an idle worker", len(ready.order))
+			}
+			if at := shard.reservations[first].worker; usable == (at == failedAt) {
+				t.Errorf("the first message goes to %s", at.ID)
+			}
+		})
+	}
+}
+
+// acceptPlain has a message decided and applied, and gives its place.
+func (n *simNode) acceptPlain(t *testing.T, number int) ids.Position {
+	t.Helper()
+	message := queue.Message{ID: fmt.Sprint("p", number), Method: "POST", Path: "/plain", Hold: 600000, Release: 1}
+	data, err := codec.Marshal(queue.Command{Verb: queue.Accept, Msg: &message})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.decide(n.now, paxos.Request{ID: paxos.ID{Origin: message.ID}, Data: data})
+	n.shard.Apply(n.log[n.applied])
+	n.applied++
+	return n.shard.state.Find(message.ID).Pos
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -55,15 +55,28 @@
 	load   float64
 }
 
-// pick chooses a worker for an attempt: the emptier of two of this zone, and only
-// when those are full one of another; not the one that failed it last.
+// pick chooses a worker for an attempt: not the one that failed it last, unless that is the
+// only one that can be sent to now. None means that the service as a whole takes nothing now.
 func (h *Host) pick(s *service, now ids.Millis, avoid string) *worker {
+	if other := h.pickOther(s, now, avoid); other != nil || avoid == "" {
+		return other
+	}
+	last := h.workers[avoid]
+	if last == nil || last.Service != s.Label || !last.free(now, h.connectionLimit(s)) || last.overloaded(last.load(now)) {
+		return nil
+	}
+	return last
+}
+
+// pickOther chooses the emptier of two workers of this zone, and only when those are full one
+// of another.
+func (h *Host) pickOther(s *service, now ids.Millis, avoid string) *worker {
 	best := h.sample(s, s.near, now, avoid, 0, choice{})
 	if best.worker == nil || best.load > nearLoadEnough {
 		best = h.sample(s, s.far, now, avoid, farPenalty, best)
 	}
-	if best.worker != nil && best.load > loadLimit && !best.worker.fixed {
-		return nil // its own queue is long: the message waits here
+	if best.worker != nil && best.worker.overloaded(best.load) {
+		return nil
 	}
 	return best.worker
 }
@@ -73,13 +86,12 @@
 	if len(from) == 0 {
 		return best
 	}
-	others := len(s.near)+len(s.far) > 1
 	limit := h.connectionLimit(s)
 	start := h.Rand.IntN(len(from))
 	found := 0
 	for i := 0; i < len(from) && found < workersSampled; i++ {
 		w := from[(start+i)%len(from)]
-		if w.ID == avoid && others || !w.free(now, limit) {
+		if w.ID == avoid || !w.free(now, limit) {
 			continue
 		}
 		found++
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -60,6 +60,10 @@
 	return load
 }
 
+// overloaded tells whether messages wait here rather than in a worker's long queue. A fixed
+// endpoint has no other beside it.
+func (w *worker) overloaded(load float64) bool { return load > loadLimit && !w.fixed }
+
 // free tells whether an attempt may be sent to a worker now. limit bounds the
 // connections to it from here.
 func (w *worker) free(now ids.Millis, limit int) bool {
