Dispatch: shards of a process come first in turn

Cause: shards share the room of workers and the tokens of rate limits, and Host.Step went through them in the order of their numbers.

Change: each step begins with the next shard.

Result: TestShardsShareAWorkersRoom: before, of 20 slots the shard with a long queue got 20 and the other, with 5 messages, none; now 15 and 5.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -74,6 +74,8 @@
 	origin   string // of the commands that this process submits
 	seq      uint64 // of the last of them
 	nextTidy ids.Millis
+	// firstShard counts the steps: shards share the workers' room, so each comes first in turn.
+	firstShard int
 }
 
 // New makes a host.
@@ -106,9 +108,12 @@
 		h.tidyPools()
 	}
 	next := now + stepInterval
-	for _, group := range slices.Sorted(maps.Keys(h.shards)) { // in turn: they share the workers
+	groups := slices.Sorted(maps.Keys(h.shards))
+	for i := range groups {
+		group := groups[(h.firstShard+i)%len(groups)]
 		next = min(next, h.shards[group].step(now))
 	}
+	h.firstShard++
 	return next
 }
 
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -62,7 +62,7 @@
 			host.workers = map[string]*worker{failedAt.ID: failedAt, other.ID: other}
 			ready := &readyQueue{queued: map[ids.Position]bool{}}
 			for i := range 3 {
-				pos := n.acceptPlain(t, i)
+				pos := n.acceptPlain(t, shard, i)
 				ready.add(pos)
 			}
 			shard.leading = true
@@ -79,16 +79,50 @@
 	}
 }
 
-// acceptPlain has a message decided and applied, and gives its place.
-func (n *simNode) acceptPlain(t *testing.T, number int) ids.Position {
+// acceptPlain has a message decided in a shard, and gives its place.
+func (n *simNode) acceptPlain(t *testing.T, shard *Shard, number int) ids.Position {
 	t.Helper()
 	message := queue.Message{ID: fmt.Sprint("p", number), Method: "POST", Path: "/plain", Hold: 600000, Release: 1}
 	data, err := codec.Marshal(queue.Command{Verb: queue.Accept, Msg: &message})
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.decide(n.now, paxos.Request{ID: paxos.ID{Origin: message.ID}, Data: data})
-	n.shard.Apply(n.log[n.applied])
-	n.applied++
-	return n.shard.state.Find(message.ID).Pos
+	n.decide(n.now-n.offset, paxos.Request{ID: paxos.ID{Origin: message.ID}, Data: data})
+	shard.Apply(n.log[len(n.log)-1])
+	return shard.state.Find(message.ID).Pos
+}
+
+// TestShardsShareAWorkersRoom guards against the messages of one shard that wait while another
+// shard of the same process, with a long queue, takes each slot as it becomes free.
+func TestShardsShareAWorkersRoom(t *testing.T) {
+	const waiting, few = 200, 5
+	s := found(t, 1, "")
+	s.calm = true
+	n := s.nodes[s.leader]
+	service := n.host.services["list"]
+	service.ConnLimit = 1
+	service.near, service.far = service.near[:1], nil
+	busy, other := n.shard, n.host.Open(1)
+	for i := range waiting {
+		n.acceptPlain(t, busy, i)
+	}
+	for i := range few {
+		n.acceptPlain(t, other, i)
+	}
+	turns := map[*Shard]int{}
+	for range 4 * few {
+		s.now++
+		n.host.Step(s.now)
+		for _, shard := range []*Shard{busy, other} {
+			for pos, r := range shard.reservations { // its attempt is over
+				turns[shard]++
+				r.worker.inFlight--
+				delete(shard.reservations, pos)
+				shard.state.Row(pos).Outcome = queue.Done
+			}
+		}
+	}
+	if turns[other] != few || turns[busy] != 3*few {
+		t.Errorf("of %d slots the shard with a long queue got %d, the other %d of %d", 4*few, turns[busy], turns[other], few)
+	}
 }
