Dispatch: messages that wait for a configuration cost nothing until it comes

Cause: a message taken under a configuration that its store does not have yet was looked at again every 30 ms, so a long queue of them was a scan of all every 30 ms. A new configuration has all messages looked at anyway (updateConfig).

Change: they have no timer.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -15,9 +15,6 @@
 const (
 	// readyInterval is how soon messages that wait for room are looked at again.
 	readyInterval = ids.Millis(10)
-	// configInterval is how soon a message is looked at again that was taken under a
-	// configuration that is not here yet.
-	configInterval = ids.Millis(30)
 	// runningMargin is added to the end of an attempt that may still run.
 	runningMargin = ids.Millis(5)
 	// answerMargin is how long after a worker's time is over its answer may still be
@@ -132,6 +129,9 @@
 	if !s.leading || !s.sendable(row) {
 		return
 	}
+	if row.Msg.Release > s.host.config.Release {
+		return // when its configuration comes, all messages are looked at anew
+	}
 	route := s.host.config.Route(row.Msg.Host, row.Msg.Path)
 	if at, later := s.notBefore(now, row, route); later {
 		s.scheduleAt(at, row.Pos)
@@ -160,8 +160,6 @@
 		return now + row.NotBefore - clock, true
 	case backoff != nil && now < backoff.until:
 		return backoff.until, true
-	case row.Msg.Release > s.host.config.Release:
-		return now + configInterval, true
 	}
 	return 0, false
 }
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"oxbowdeck/internal/codec"
@@ -82,7 +83,7 @@
 // acceptPlain has a message decided in a shard, and gives its place.
 func (n *simNode) acceptPlain(t *testing.T, shard *Shard, number int) ids.Position {
 	t.Helper()
-	message := queue.Message{ID: fmt.Sprint("p", number), Method: "POST", Path: "/plain", Hold: 600000, Release: 1}
+	message := queue.Message{ID: fmt.Sprint("p", number), Method: "POST", Path: "/plain", Hold: 600000, Release: max(1, n.release)}
 	data, err := codec.Marshal(queue.Command{Verb: queue.Accept, Msg: &message})
 	if err != nil {
 		t.Fatal(err)
@@ -126,3 +127,28 @@
 		t.Errorf("of %d slots the shard with a long queue got %d, the other %d of %d", 4*few, turns[busy], turns[other], few)
 	}
 }
+
+// TestWaitingForAConfigurationIsFree guards against a queue that is looked at again and again
+// while its messages wait for a configuration: its arrival alone brings them on.
+func TestWaitingForAConfigurationIsFree(t *testing.T) {
+	const messages = 50
+	s := found(t, 1, "")
+	s.calm = true
+	n := s.nodes[s.leader]
+	n.release = 2
+	for i := range messages {
+		n.acceptPlain(t, n.shard, i)
+	}
+	s.pass(500, never)
+	if waits := len(n.shard.timers); waits != 0 || len(n.shard.reservations) != 0 {
+		t.Errorf("%d timers, %d messages sent, before their configuration is there", waits, len(n.shard.reservations))
+	}
+	update := *s.update
+	update.Seq, update.Release = 2, 2
+	update.Config = controlapi.Pack([]byte(strings.Replace(fmt.Sprintf(simConfig, 0.0), `"config_release":1`, `"config_release":2`, 1)))
+	n.host.Update(&update, s.now)
+	n.host.Step(s.now)
+	if len(n.shard.reservations) == 0 {
+		t.Error("nothing is sent once the configuration is there")
+	}
+}
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -46,6 +46,7 @@
 	up          bool
 	cut         bool
 	incarnation ids.Incarnation
+	release     int64 // of the messages that acceptPlain hands in; 0: the first
 }
 
 type simMsg struct {
