Soak: workers spoil seals, drain and leave; messages that wait for a worker are judged

Change: troubles worker-spoil, worker-drain and worker-leave, drawn from the seed (the latter two are planned work as well); a service with two workers and little to do; the rule that its messages have their first run within 6 s while nothing is in trouble; clients that send names which are not text. A seed gives another plan than before. The simulated runs of dispatch spoil a fortieth of the seals while there is trouble.

A first try had two workers for the service that clients flood: hundreds of messages waited over 6 s there. That was load, not a fault, so the rule has a service of its own.

--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -214,7 +215,7 @@
 	tell := func(after ids.Millis, r Result) {
 		s.in(after, func() {
 			if n.up && n.incarnation == incarnation {
-				if r.outcome == queue.Done {
+				if r.outcome == queue.Done && utf8.ValidString(r.seal) {
 					m.readBy, m.readIncarnation = n, incarnation
 				}
 				done(r)
@@ -280,7 +281,7 @@
 		seal := ""
 		s.in(work, func() { seal = s.success(m) })
 		s.in(work+1, func() {
-			if s.spoilSeal != nil && s.spoilSeal(m) {
+			if s.spoilSeal != nil && s.spoilSeal(m) || !s.calm && s.rng.Intn(40) == 0 {
 				seal += "\xff"
 			}
 			tell(0, Result{outcome: queue.Done, seal: seal})
--- a/internal/soak/abuse.go
+++ b/internal/soak/abuse.go
@@ -115,7 +115,7 @@
 		head += "X-Api-Key: " + a.key + "\r\n"
 	}
 	id := fmt.Sprintf("X-Attempt-Id: abuse-%x\r\n", random.Uint64())
-	switch random.IntN(8) {
+	switch random.IntN(9) {
 	case 0:
 		return head[:len(head)/2]
 	case 1:
@@ -130,6 +130,8 @@
 		return head + id + "X-Defer-Ms: 1e9\r\nContent-Length: 0\r\n\r\n"
 	case 6:
 		return strings.Repeat("GET /v1/message/0."+strings.Repeat("a", 40)+" HTTP/1.1\r\nHost: in.example\r\n\r\n", 100)
+	case 7:
+		return head + id + "X-Sequence-Key: k\xff\r\nContent-Type: \xc3\r\nContent-Length: 2\r\n\r\nhi"
 	}
 	return strings.Repeat(head+id+"Content-Length: 2\r\n\r\nhi", 20)
 }
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -55,4 +55,6 @@
 }
 
 // plannedWork is what operators do of themselves: it excuses nothing.
-var plannedWork = map[Kind]bool{Terminate: true, Hangup: true, Retire: true, Add: true}
+var plannedWork = map[Kind]bool{
+	Terminate: true, Hangup: true, Retire: true, Add: true, WorkerDrain: true, WorkerLeave: true,
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -60,6 +60,9 @@
 	WorkerFail    Kind = "worker-fail"     // they answer 500
 	WorkerReplace Kind = "worker-replaced" // one vanishes, another registers
 	WorkerGhost   Kind = "worker-ghost"    // one registers whose address answers nothing, and says no more
+	WorkerSpoil   Kind = "worker-spoil"    // they spoil bytes of their answers
+	WorkerDrain   Kind = "worker-drain"    // one says that it drains, serves on, unregisters and ends
+	WorkerLeave   Kind = "worker-leave"    // one unregisters, serves on and ends
 )
 
 // Class is a class of processes.
@@ -75,13 +78,13 @@
 var classes = [...]Class{Core, Store, Edge}
 
 // Trouble is one trouble of a plan. Places are numbers: the process that stands there when
-// the trouble begins is struck.
+// the trouble begins is struck, or a worker of the service.
 type Trouble struct {
 	At    time.Duration `json:"at"` // from the start of traffic
 	For   time.Duration `json:"for"`
 	Kind  Kind          `json:"kind"`
 	Class Class         `json:"class,omitempty"`
-	Place int           `json:"place"` // of the process in its class
+	Place int           `json:"place"` // of the process in its class, or of a worker's service
 }
 
 func (t Trouble) String() string {
@@ -172,6 +175,9 @@
 	{WorkerFail, 3, nil, second, 3 * second},
 	{WorkerReplace, 6, nil, second, second},
 	{WorkerGhost, 3, nil, 3 * second, 6 * second},
+	{WorkerSpoil, 5, nil, second, 5 * second},
+	{WorkerDrain, 4, nil, 3 * second, 14 * second},
+	{WorkerLeave, 3, nil, 3 * second, 14 * second},
 }
 
 // catchUp is how long after its return a process still counts as lost.
@@ -264,6 +270,9 @@
 		t.Class = k.classes[random.IntN(len(k.classes))]
 		t.Place = random.IntN(shape.count(t.Class))
 	}
+	if t.Kind == WorkerDrain || t.Kind == WorkerLeave {
+		t.Place = random.IntN(len(services))
+	}
 	return t
 }
 
@@ -275,7 +284,8 @@
 	switch t.Kind {
 	case KillAll, FreezeAll:
 		return shape.count(class)
-	case Add, Hangup, WorkerHang, WorkerTwice, WorkerLate, WorkerCut, WorkerFail, WorkerReplace, WorkerGhost:
+	case Add, Hangup, WorkerHang, WorkerTwice, WorkerLate, WorkerCut, WorkerFail, WorkerReplace, WorkerGhost,
+		WorkerSpoil, WorkerDrain, WorkerLeave:
 		return 0
 	case KillHalf, FreezeHalf, Split:
 		if t.Class == class {
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,12 @@
 	{Add, 2, []Class{Store, Edge}, second, second},
 }
 
+// plannedLeaves is how workers leave of themselves.
+var plannedLeaves = []weighted{
+	{WorkerDrain, 6, nil, 3 * second, 14 * second},
+	{WorkerLeave, 4, nil, 3 * second, 14 * second},
+}
+
 // senders is how many hand messages in.
 func (s Shape) senders() int {
 	if s.Planned {
@@ -28,10 +35,14 @@
 // processes of a class are restarted at a time than may be lost: an operator waits.
 func drawPlanned(shape Shape) Plan {
 	random := rand.New(rand.NewPCG(shape.Seed, 0x91a4))
+	kinds := slices.Clone(plannedTroubles)
+	if shape.Queue {
+		kinds = append(kinds, plannedLeaves...)
+	}
 	plan := Plan{Shape: shape}
 	var last Trouble
 	for at := second; at < shape.For; at += tenth + time.Duration(random.Int64N(int64(plannedPause))) {
-		t := drawOne(random, shape, plannedTroubles)
+		t := drawOne(random, shape, kinds)
 		t.At = at
 		t.aimLike(last, random)
 		last = t
--- a/internal/soak/queue.go
+++ b/internal/soak/queue.go
@@ -26,6 +26,7 @@
 	queueKeys      = 5 // sequences
 	queueDelay     = 1500 * time.Millisecond
 	queueLargest   = 12 << 10
+	pairShare      = 10 // one message in so many is for the service with two workers
 )
 
 // queueConfiguration is a valid configuration of a queue.
@@ -47,6 +48,7 @@
 		route("stock", "/stock/", stockService, 2, false),
 		route("lock", "/lock/", lockService, 1, true),
 		route("metered", "/metered/", meteredService, 2, false),
+		route("pair", pairPath, pairService, 2, false),
 		route("failing", failingPath, stockService, 2, false),
 		route("refused", refusedPath, stockService, 2, false),
 		route("abuse", "/abuse/", stockService, 2, false),
@@ -55,6 +57,7 @@
 	return fmt.Sprintf(`{"config_release":%d,"routing_entries":[%s],
 "service_set":[{"label":"stock","conn_limit":40,"rate_per_s":0,"fixed_endpoint":null},
 {"label":"metered","conn_limit":40,"rate_per_s":%d,"fixed_endpoint":null},
+{"label":"pair","conn_limit":40,"rate_per_s":0,"fixed_endpoint":null},
 {"label":"lock","conn_limit":40,"dedup_capable":true,"fixed_endpoint":null}],
 "limits":{"header_max_bytes":16384,"body_max_bytes":65536,"header_timer_ms":3000,"idle_timer_ms":%d}%s}`,
 		release, strings.Join(routes, ","), meteredRate, 15000+guard, accounts)
@@ -150,6 +153,7 @@
 	}
 	run := &queueRun{message: m, worker: worker, began: time.Now()}
 	h.count("runs")
+	h.checkWait(m, run.began)
 	if string(body) != m.body || r.RequestURI != m.path || r.Header.Get("X-Sequence-Key") != m.key {
 		h.violate("MIXED", "a worker gets %s with another body, path or key", id)
 	}
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -78,6 +78,41 @@
 	}
 }
 
+// TestWaitBites: a message that may run is sent to a worker in time while nothing is in trouble.
+func TestWaitBites(t *testing.T) {
+	for _, test := range []struct {
+		what    string
+		path    string
+		waited  time.Duration
+		delay   time.Duration
+		ran     bool
+		trouble bool
+		want    string
+	}{
+		{what: "in time", path: "/pair/1", waited: longestWait - second},
+		{what: "too late", path: "/pair/1", waited: longestWait + second, want: "LOST"},
+		{what: "too late, in a trouble", path: "/pair/1", waited: longestWait + second, trouble: true},
+		{what: "delayed", path: "/pair/1", waited: longestWait + second, delay: 2 * second},
+		{what: "it ran before", path: "/pair/1", waited: longestWait + second, ran: true},
+		{what: "of a service with much to do", path: "/stock/1", waited: longestWait + second},
+	} {
+		h := newQueueHistory(newHistory(io.Discard))
+		if test.trouble {
+			h.calendar.begin()
+		}
+		sent := time.Now().Add(-test.waited)
+		m := &queueMessage{id: "m", path: test.path, sent: sent, acceptedAt: sent, delay: test.delay}
+		if test.ran {
+			m.runs = append(m.runs, &queueRun{message: m, began: sent})
+		}
+		h.sending(m)
+		request := httptest.NewRequest(http.MethodPost, test.path, nil)
+		if h.begins("w", "m", request, nil); rulesOf(h.History) != test.want {
+			t.Errorf("%s: violated %q, want %q", test.what, rulesOf(h.History), test.want)
+		}
+	}
+}
+
 // edgeThatAnswers is an edge that gives each question one answer.
 func edgeThatAnswers(t *testing.T, status int, body string) string {
 	t.Helper()
--- a/internal/soak/sender.go
+++ b/internal/soak/sender.go
@@ -53,6 +53,8 @@
 		return noRoutePath, ""
 	case s.random.IntN(meteredShare) == 0:
 		return "/metered/1", ""
+	case s.random.IntN(pairShare) == 0:
+		return pairPath + "1", ""
 	case s.random.IntN(hopelessPart) == 0:
 		return failingPath + "1", ""
 	case s.random.IntN(hopelessPart) == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -165,6 +165,41 @@
 	}
 }
 
+// leavingWorkersPlan has workers spoil answers while others leave, and restarts every store, as
+// planned work, once nothing has been in trouble for contactTime.
+var leavingWorkersPlan = []Trouble{
+	{At: 5 * tenth, For: 2 * second, Kind: WorkerSpoil},
+	{At: second, For: 3 * second, Kind: WorkerLeave, Place: 0},
+	{At: 4 * second, For: 9 * second, Kind: WorkerDrain, Place: 3},
+	{At: 5 * second, For: 9 * second, Kind: WorkerDrain, Place: 1},
+	{At: 6 * second, For: 5 * second, Kind: WorkerLeave, Place: 2},
+	{At: 14 * second, For: second, Kind: Terminate, Class: Store, Place: 0},
+	{At: 16 * second, For: second, Kind: Terminate, Class: Store, Place: 1},
+	{At: 18 * second, For: second, Kind: Terminate, Class: Store, Place: 2},
+}
+
+// TestShortSoakOfLeavingWorkers guards against spoiled answers that keep other messages from
+// ending, and against messages that wait for a worker that leaves while another is idle.
+func TestShortSoakOfLeavingWorkers(t *testing.T) {
+	if err := buildPrograms(); err != nil {
+		t.Fatal(err)
+	}
+	shape := Shape{Seed: 1, For: 18 * second, Zones: 3, Edges: 1, Queue: true}
+	report, err := Run(t.Context(), Config{
+		Dir: t.TempDir(), Programs: programsDir, Shape: shape, Plan: &Plan{Shape: shape, Troubles: leavingWorkersPlan},
+		Net: 200 + os.Getpid()%50, Port: 24300, Output: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if c := report.Counts; c["runs"] < 500 || c["workers that left"] != 4 || c["answers that are spoiled"] < 5 {
+		t.Errorf("too little happened: %v", c)
+	}
+}
+
 // echoServer answers what it gets.
 func echoServer(t *testing.T) string {
 	t.Helper()
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,17 @@
 const (
 	stockService = "stock"
 	lockService  = "lock" // knows the ids of what it did
+	pairService  = "pair" // has two workers, and little to do
 	workersEach  = 3
+	pairWorkers  = 2
+
+	// failingShare is one in how many runs that fail at any worker; pairFailingShare at those of
+	// the small service.
+	failingShare     = 50
+	pairFailingShare = 10
+
+	// spoiledShare is one in how many answers a worker spoils that hands out wrong bytes.
+	spoiledShare = 4
 
 	workerSlots     = 8
 	workerHeartbeat = 300 * time.Millisecond
@@ -25,6 +36,9 @@
 	plannedWorkTime = 30 * time.Millisecond // the same where nothing is in trouble: more is under way
 )
 
+// services are all of them: plans name them by their places.
+var services = [...]string{stockService, lockService, meteredService, pairService}
+
 // workerFleet is the workers of a deployment.
 type workerFleet struct {
 	deployment *deployment
@@ -45,9 +59,13 @@
 	address string
 	quit    chan struct{}
 	server  *http.Server
-	calls   int64
+	calls   atomic.Int64
 	mode    atomic.Value // Kind: how it misbehaves; empty: it does not
 	seals   atomic.Int64
+
+	leaves       bool // it was drawn to leave; of the fleet's lock
+	draining     atomic.Bool
+	unregistered atomic.Bool
 }
 
 func newWorkerFleet(d *deployment, history *QueueHistory) *workerFleet {
@@ -60,8 +78,12 @@
 
 // start starts all workers.
 func (f *workerFleet) start() error {
-	for _, service := range []string{stockService, lockService, meteredService} {
-		for range workersEach {
+	for _, service := range services {
+		count := workersEach
+		if service == pairService {
+			count = pairWorkers
+		}
+		for range count {
 			if err := f.add(service); err != nil {
 				return err
 			}
@@ -120,6 +142,9 @@
 	case WorkerGhost:
 		f.ghost(t.For)
 		return
+	case WorkerDrain, WorkerLeave:
+		f.leave(services[t.Place%len(services)], t.Kind == WorkerDrain, t.For)
+		return
 	}
 	struck := all[:max(1, len(all)/3)]
 	for _, w := range struck {
@@ -134,13 +159,13 @@
 // replace has one worker vanish without a word, and another come.
 func (f *workerFleet) replace(w *worker) {
 	f.mu.Lock()
-	for i, x := range f.workers {
-		if x == w {
-			f.workers = append(f.workers[:i], f.workers[i+1:]...)
-			break
-		}
+	if w.leaves {
+		f.mu.Unlock()
+		return
 	}
+	w.leaves = true
 	f.mu.Unlock()
+	f.remove(w)
 	w.kill()
 	if err := f.add(w.service); err != nil {
 		f.history.note("worker: %v", err)
@@ -169,7 +194,7 @@
 
 // heartbeats registers the worker again and again.
 func (w *worker) heartbeats() {
-	for {
+	for !w.unregistered.Load() {
 		w.sendHeartbeat()
 		select {
 		case <-w.quit:
@@ -179,21 +204,30 @@
 	}
 }
 
+// sendHeartbeat calls one control process after the other until one acknowledges.
 func (w *worker) sendHeartbeat() {
-	w.calls++
-	body, _ := json.Marshal(map[string]any{
-		"service_ref": w.service, "transport_addr": w.address, "avail_zone": "zone-1", "config_release": "v1",
-		"capacity_slots": workerSlots, "op_state": "in_service", "warmup_left_ms": 0, "call_seq": w.calls,
-	})
 	list := w.fleet.deployment.controlAddresses()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, address := range list {
-		if call(http.MethodPut, "http://"+address+"/v1/instances/"+w.id, nil, body).status/100 == 2 {
+		if w.putHeartbeat(address) {
 			return
 		}
 	}
 }
 
+// putHeartbeat makes one call to a control process, and tells whether it is acknowledged.
+func (w *worker) putHeartbeat(address string) bool {
+	state := "in_service"
+	if w.draining.Load() {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"service_ref": w.service, "transport_addr": w.address, "avail_zone": "zone-1", "config_release": "v1",
+		"capacity_slots": workerSlots, "op_state": state, "warmup_left_ms": 0, "call_seq": w.calls.Add(1),
+	})
+	return call(http.MethodPut, "http://"+address+"/v1/instances/"+w.id, nil, body).status/100 == 2
+}
+
 // ServeHTTP works on a message.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get("X-Attempt-Id")
@@ -262,7 +296,11 @@
 
 // answer answers, or does not.
 func (w *worker) answer(rw http.ResponseWriter, attempt string, mode Kind, run *queueRun) {
-	fails := mode == WorkerFail || rand.IntN(50) == 0
+	share := failingShare
+	if w.service == pairService {
+		share = pairFailingShare
+	}
+	fails := mode == WorkerFail || rand.IntN(share) == 0
 	seal := fmt.Sprintf("%s.%d", w.id, w.seals.Add(1))
 	if fails || mode == WorkerHang {
 		w.settle(attempt, "")
@@ -276,12 +314,16 @@
 	}
 	w.settle(attempt, seal)
 	w.fleet.history.succeeded(run, seal)
-	switch mode {
-	case WorkerCut:
+	spoils := mode == WorkerSpoil && rand.IntN(spoiledShare) == 0
+	whole := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: %s\r\nContent-Length: 0\r\n\r\n"
+	switch {
+	case spoils:
+		w.fleet.history.count("answers that are spoiled")
+		w.raw(rw, fmt.Sprintf(whole, spoiled(seal)))
+	case mode == WorkerCut:
 		w.raw(rw, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Server-Se")
-	case WorkerTwice:
-		whole := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: " + seal + "\r\nContent-Length: 0\r\n\r\n"
-		w.raw(rw, whole+whole)
+	case mode == WorkerTwice:
+		w.raw(rw, strings.Repeat(fmt.Sprintf(whole, seal), 2))
 	default:
 		run.succeeds()
 		rw.Header().Set("X-Server-Seal", seal)
@@ -290,6 +332,12 @@
 	}
 }
 
+// spoiled is a seal with one byte of it wrong.
+func spoiled(seal string) string {
+	at := rand.IntN(len(seal))
+	return seal[:at] + "\xff" + seal[at+1:]
+}
+
 // settle notes how a message ended at a service that knows ids.
 func (w *worker) settle(attempt, seal string) {
 	if w.service != lockService {
