--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -47,7 +47,7 @@
 		"the other one has no room":  func(w *worker) { w.inFlight = defaultConnectionLimit },
 		"the other one is busy":      func(w *worker) { w.busyUntil = now + 10 },
 		"the other one's queue long": func(w *worker) { w.Slots, w.inFlight = 1, 2*loadLimit },
-		"both can be had":            func(*worker) {},
+		"both can be had":            func(w *worker) { w.inFlight = 2 }, // fuller than the one to avoid
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := found(t, 1, "")
