--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,9 +50,6 @@
 // playShort plays the short plan on a deployment of a kind.
 func playShort(t *testing.T, shape Shape, port int) *Report {
 	t.Helper()
-	if err := buildPrograms(); err != nil {
-		t.Fatal(err)
-	}
 	shape.Seed, shape.For, shape.Zones, shape.Edges = 1, 6*second, 3, 1
 	plan := Plan{Shape: shape, Troubles: shortTroubles}
 	if shape.Queue {
@@ -60,8 +57,17 @@
 			{At: tenth, For: 2 * second, Kind: WorkerCut}, {At: 2 * tenth, For: second, Kind: WorkerReplace},
 		}, plan.Troubles...)
 	}
+	return playPlan(t, plan, port)
+}
+
+// playPlan plays a plan, and fails the test for each violation.
+func playPlan(t *testing.T, plan Plan, port int) *Report {
+	t.Helper()
+	if err := buildPrograms(); err != nil {
+		t.Fatal(err)
+	}
 	report, err := Run(t.Context(), Config{
-		Dir: t.TempDir(), Programs: programsDir, Shape: shape, Plan: &plan,
+		Dir: t.TempDir(), Programs: programsDir, Shape: plan.Shape, Plan: &plan,
 		Net: 200 + os.Getpid()%50, Port: port, Output: io.Discard,
 	})
 	if err != nil {
@@ -103,20 +109,8 @@
 // TestShortSoakOfPlannedWork guards against messages that run again after a success, and orders
 // that come to no end, while operators work on a queue and nothing is in trouble.
 func TestShortSoakOfPlannedWork(t *testing.T) {
-	if err := buildPrograms(); err != nil {
-		t.Fatal(err)
-	}
 	shape := Shape{Seed: 1, For: 7 * second, Zones: 3, Edges: 1, Queue: true, Planned: true}
-	report, err := Run(t.Context(), Config{
-		Dir: t.TempDir(), Programs: programsDir, Shape: shape, Plan: &Plan{Shape: shape, Troubles: plannedWorkPlan},
-		Net: 200 + os.Getpid()%50, Port: 24200, Output: io.Discard,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Error(v)
-	}
+	report := playPlan(t, Plan{Shape: shape, Troubles: plannedWorkPlan}, 24200)
 	if c := report.Counts; c["runs"] < 500 || c["stores retired"] != 3 {
 		t.Errorf("too little happened: %v", c)
 	}
@@ -181,20 +175,8 @@
 // TestShortSoakOfLeavingWorkers guards against spoiled answers that keep other messages from
 // ending, and against messages that wait for a worker that leaves while another is idle.
 func TestShortSoakOfLeavingWorkers(t *testing.T) {
-	if err := buildPrograms(); err != nil {
-		t.Fatal(err)
-	}
 	shape := Shape{Seed: 1, For: 18 * second, Zones: 3, Edges: 1, Queue: true}
-	report, err := Run(t.Context(), Config{
-		Dir: t.TempDir(), Programs: programsDir, Shape: shape, Plan: &Plan{Shape: shape, Troubles: leavingWorkersPlan},
-		Net: 200 + os.Getpid()%50, Port: 24300, Output: io.Discard,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Error(v)
-	}
+	report := playPlan(t, Plan{Shape: shape, Troubles: leavingWorkersPlan}, 24300)
 	if c := report.Counts; c["runs"] < 500 || c["workers that left"] != 4 || c["answers that are spoiled"] < 5 {
 		t.Errorf("too little happened: %v", c)
 	}
