Soak: all workers spoil answers, so that a short run has enough of them

Cause: TestShortSoakOfLeavingWorkers wants five spoiled answers. A third of the workers was struck; in the whole script beside a load of 46 these were of services with little to do, and four answers were spoiled ("too little happened").

Change: worker-spoil strikes all workers. The test's count is as it was.

--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -147,6 +147,9 @@
 		return
 	}
 	struck := all[:max(1, len(all)/3)]
+	if t.Kind == WorkerSpoil {
+		struck = all
+	}
 	for _, w := range struck {
 		w.mode.Store(t.Kind)
 	}
