--- a/internal/modelcheck/rules.go
+++ b/internal/modelcheck/rules.go
@@ -156,14 +156,7 @@
 			cmp.Compare(a.Val, b.Val),
 		)
 	})
-	yes := 0
-	members := h.members(v.Slot, e.plan.Conf.Window)
-	for _, m := range members {
-		if slices.Contains(h.Votes, vote{v.Slot, v.Ballot, m.ID, v.Val}) {
-			yes++
-		}
-	}
-	if 2*yes <= len(members) {
+	if !e.byMajority(h, v) {
 		return h, ""
 	}
 	c, ok := h.at(v.Slot)
@@ -202,6 +195,18 @@
 	return h, ""
 }
 
+// byMajority tells whether a majority of an instance's voters accepted what a vote is for.
+func (e *explorer) byMajority(h *history, v vote) bool {
+	yes := 0
+	members := h.members(v.Slot, e.plan.Conf.Window)
+	for _, m := range members {
+		if slices.Contains(h.Votes, vote{v.Slot, v.Ballot, m.ID, v.Val}) {
+			yes++
+		}
+	}
+	return 2*yes > len(members)
+}
+
 // change checks that a membership change is a step towards one asked for, of one
 // member, and that none other is under way.
 func (e *explorer) change(h *history, n chosen) string {
@@ -266,14 +271,7 @@
 		if x.timeOf == 0 || v.Ballot <= x.timeOf || v.Ballot >= x.ballot {
 			continue
 		}
-		yes := 0
-		members := h.members(v.Slot, e.plan.Conf.Window)
-		for _, m := range members {
-			if slices.Contains(h.Votes, vote{v.Slot, v.Ballot, m.ID, v.Val}) {
-				yes++
-			}
-		}
-		if 2*yes > len(members) {
+		if e.byMajority(h, v) {
 			return fmt.Sprintf("time: number %d leads epoch %d with the time of epoch %d, and instance %d is chosen in epoch %d",
 				x.num, x.ballot.Round(), x.timeOf.Round(), v.Slot, v.Ballot.Round())
 		}
