Stores log what a shard lets go of because its tables are full

Each replica now logs tables-full with how many pairs of client and topic, and how many topics, it has let go of and holds. No decision rests on it.

--- a/internal/store/topic_shards.go
+++ b/internal/store/topic_shards.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"log/slog"
+
 	"oxbowdeck/internal/codec"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
@@ -46,7 +48,21 @@
 }
 
 // Apply runs a decided instance.
-func (s *topicShard) Apply(decided paxos.Decided) { s.state.Apply(decided, s.publishEvent) }
+func (s *topicShard) Apply(decided paxos.Decided) {
+	before := s.state.Forgotten()
+	s.state.Apply(decided, s.publishEvent)
+	if s.state.Forgotten() != before {
+		s.logForgotten(before)
+	}
+}
+
+// logForgotten tells the log what the state let go of because its tables were full.
+func (s *topicShard) logForgotten(before topic.Forgotten) {
+	now := s.state.Forgotten()
+	slog.Info("tables-full", "group", s.group,
+		"publishers_forgotten", now.Publishers-before.Publishers, "publishers", s.state.Publishers(),
+		"topics_forgotten", now.Topics-before.Topics, "topics", s.state.Topics())
+}
 
 // Size is about how many bytes a snapshot takes.
 func (s *topicShard) Size() int { return s.state.Bytes() }
--- a/internal/topic/snapshot.go
+++ b/internal/topic/snapshot.go
@@ -116,6 +116,7 @@
 	}
 	loaded := New(s.Bounds)
 	loaded.progress = h.Progress
+	loaded.forgotten = s.forgotten
 	loaded.forgottenUpTo = h.ForgottenUpTo
 	if err := statemachine.ReadRows(r, "topic", h.Topics, loaded.loadTopic); err != nil {
 		return err
--- a/internal/topic/state.go
+++ b/internal/topic/state.go
@@ -29,6 +29,13 @@
 	endedSubscriptions map[subscriptionKey]endedSubscription
 	accounts           *quota.Ledger // of the tenants whose home this shard is
 	bytes              int
+	forgotten          Forgotten // since this replica was opened
+}
+
+// Forgotten counts what a replica has let go of because its tables were full.
+type Forgotten struct {
+	Publishers int // clients on a topic, with their numbers
+	Topics     int // topics without history
 }
 
 // New starts an empty state.
@@ -52,6 +59,15 @@
 // Bytes is about how many bytes the history takes.
 func (s *State) Bytes() int { return s.bytes }
 
+// Forgotten counts what was let go of since this replica was opened.
+func (s *State) Forgotten() Forgotten { return s.forgotten }
+
+// Publishers is how many clients on a topic have their numbers remembered.
+func (s *State) Publishers() int { return len(s.publishers) }
+
+// Topics is how many topics are remembered, with history or without.
+func (s *State) Topics() int { return len(s.topics) }
+
 // End is the place after everything applied.
 func (s *State) End() ids.Position { return ids.EndOf(s.Slot()) }
 
--- a/internal/topic/sweep.go
+++ b/internal/topic/sweep.go
@@ -60,6 +60,7 @@
 	for _, t := range bare[:count] {
 		s.forgottenUpTo = max(s.forgottenUpTo, t.pos)
 		delete(s.topics, t.name)
+		s.forgotten.Topics++
 	}
 }
 
@@ -81,5 +82,6 @@
 	})
 	for _, p := range idle[:min(count, len(idle))] {
 		delete(s.publishers, p.key)
+		s.forgotten.Publishers++
 	}
 }
