Numbers of a client that a full shard forgot refuse on

What callers saw: a publish that stood still in a frozen edge, or was sent again later, was delivered a second time after later ones of its sender (ORDER), where a shard had more than tuning.marks pairs of client and topic meanwhile.

Cause: forgetPublishers dropped the pairs that were idle longest, and the highest accepted number with them, so what it would have refused was taken as new.

Change: of a forgotten pair the client's highest number stays, which refuses on all its topics, since numbers rise across topics. Past twice tuning.marks clients one time stays, and a publish tells how old it may be by decided time (AsOf): what may have been written before that time is not taken, and answered UNKNOWN. Edges hear decided time with each pong, and end a connection that was silent for too long before they read on.

--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -74,7 +74,7 @@
 	}
 	d.submit(now, x, id, topic.Command{
 		Verb: topic.Publish, Topic: w.topic, Client: c.client, Seq: w.seq, Body: w.body,
-		Edge: d.core.Self.Addr, Keep: keep,
+		Edge: d.core.Self.Addr, Keep: keep, AsOf: d.asOf(now, c, w.topic),
 	})
 }
 
@@ -158,17 +158,24 @@
 			"origin", o.ID.Origin, "number", o.ID.Seq, "client", x.conn.client, "seq", x.seq)
 	}
 	x.conn.answered(x)
-	if now := ids.MonotonicNow(); o.Verdict == topic.Refused {
+	d.answerDecided(ids.MonotonicNow(), x, o.Verdict)
+}
+
+// answerDecided answers a client whose publish was decided.
+func (d *Daemon) answerDecided(now ids.Millis, x *call, verdict topic.Verdict) {
+	switch verdict {
+	case topic.Refused:
 		d.record(now, x, causeRetry, "decided: a later number of the client was accepted on the topic")
-	} else {
-		d.record(now, x, outcomeAccepted, "")
-	}
-	if o.Verdict == topic.Refused {
 		d.rejectPublish(x.conn, x.topic, x.seq, causeRetry)
-		return
+	case topic.TooOld: // of this copy alone: another may have been accepted, or will be
+		d.markUncertain(now, x)
+		d.record(now, x, causeUnknown, "decided: its client was forgotten since it may have been written")
+		d.rejectPublish(x.conn, x.topic, x.seq, causeUnknown)
+	default:
+		d.record(now, x, outcomeAccepted, "")
+		d.metrics.Accepted()
+		x.conn.send([]byte("ACK " + string(x.topic) + " " + strconv.FormatUint(uint64(x.seq), 10) + "\r\n"))
 	}
-	d.metrics.Accepted()
-	x.conn.send([]byte("ACK " + string(x.topic) + " " + strconv.FormatUint(uint64(x.seq), 10) + "\r\n"))
 }
 
 // overQuota takes a store's word that calls were not taken because of their tenants'
--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -142,7 +142,7 @@
 func TestGoneBeforeTheAnswer(t *testing.T) {
 	hub := transport.New(transport.Hello{Node: "e"}, transport.Bounds{Queue: 1 << 20, RetryMin: time.Millisecond, RetryMax: time.Millisecond}, nil, func(*transport.Link) {})
 	d := &Daemon{conns: map[uint64]*conn{}, topics: map[ids.Topic]*followedTopic{}, calls: map[paxos.ID]*call{}, outbox: map[ids.Group][]*call{}, joins: map[uint64]*subscription{}, censuses: map[uint64]*census{},
-		core: &edgecore.Core{Hub: hub, Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 1)}}}, bounds: bounds{clientOut: 1000}, feeds: []*shardFeed{{link: hub.To("127.0.0.1:1")}}}
+		core: &edgecore.Core{Hub: hub, Control: &controlapi.Client{Update: &controlapi.Update{Shards: make([]controlapi.Shard, 1)}}}, bounds: bounds{clientOut: 1000, clientSilence: 1 << 30}, feeds: []*shardFeed{{link: hub.To("127.0.0.1:1")}}}
 	d.core.Updates.Configure(&controlapi.Update{Release: 1, Config: controlapi.Pack([]byte(`{"config_release":1,"routing_entries":[{"label":"a","host_id":"","path_prefix":"a.","route_class":"retained","keep_s":60}]}`))})
 	subscribe := func(id uint64, from string) *conn {
 		a, b := net.Pipe()
--- a/internal/edge/conn.go
+++ b/internal/edge/conn.go
@@ -26,6 +26,7 @@
 	key           controlapi.KeyDigest
 	since         ids.Millis
 	heardAt       ids.Millis
+	attachedAt    ids.Millis // when it was first told that it is attached
 	subscriptions map[ids.Topic]*subscription
 	calls         map[paxos.ID]*call // that wait for their outcome
 	lastSeatCall  uint64
--- a/internal/edge/current_test.go
+++ b/internal/edge/current_test.go
@@ -17,7 +17,7 @@
 // begun is an edge that has just begun.
 func begun(t *testing.T) *Daemon {
 	t.Helper()
-	d := newDaemon(bounds{maxCalls: 100, callsPerClient: 100, clientOut: 1000})
+	d := newDaemon(bounds{maxCalls: 100, callsPerClient: 100, clientOut: 1000, clientSilence: 1 << 30})
 	d.core = edgetest.NewCore(t)
 	return d
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,7 +102,7 @@
 		clientOut:      set.Int("client_out_kb", 512) << 10,
 		maxCalls:       set.Int("edge_calls", 20000),
 		callsPerClient: set.Int("client_calls", 256),
-		clientSilence:  ids.Millis(set.PingS * 3200),
+		clientSilence:  set.ClientSilence(),
 		resend:         ids.Millis(set.Int("forward_again_ms", 400)),
 		retransmit:     ids.Millis(set.Int("forward_spare_ms", 60)),
 		replicaQuiet:   ids.Millis(set.Int("replica_quiet_ms", 400)),
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -24,6 +24,7 @@
 	latePongs       int                     // pings in a row that came back late
 	nextReview      ids.Millis              // when a better replica is looked for
 	avoid           map[ids.Node]ids.Millis // stores not to be asked, until when
+	times           decidedTimes
 }
 
 // How long a store is not asked again to be followed.
--- a/internal/edge/frames.go
+++ b/internal/edge/frames.go
@@ -41,6 +41,10 @@
 		if x, ok := transport.Get[shardapi.Ping](b); ok {
 			d.pong(now, l, x)
 		}
+	case shardapi.KindTimes:
+		if x, ok := transport.Get[shardapi.Times](b); ok {
+			d.hearTimes(now, x)
+		}
 	case shardapi.KindJoined:
 		if x, ok := transport.Get[shardapi.Joined](b); ok && l == d.followedLink(x.Topic) {
 			d.joined(x)
--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -30,6 +30,9 @@
 	default:
 		c.client = ids.Client(w.arg)
 		c.keyed, c.key = keyed, key
+		if !again {
+			c.attachedAt = now
+		}
 		c.send([]byte("SUCCESS ATTACH\r\n"))
 	}
 }
--- a/internal/edge/refused_calls.go
+++ b/internal/edge/refused_calls.go
@@ -38,7 +38,7 @@
 
 // check compares the outcome of a call with what was promised.
 func (r *refusedCalls) check(id paxos.ID, verdict topic.Verdict) {
-	if r.ids[id] && verdict != topic.Refused {
+	if r.ids[id] && verdict.Accepted() {
 		invariant.Violated(invariant.RetryIsFinal, "client", id.Origin, "seq", id.Seq, "verdict", verdict)
 	}
 }
--- a/internal/edge/requests.go
+++ b/internal/edge/requests.go
@@ -14,6 +14,10 @@
 		return // it ended while this request waited
 	}
 	now := ids.MonotonicNow()
+	if now-c.heardAt > d.bounds.clientSilence {
+		c.end() // this edge or the link stood still: what comes may be as old
+		return
+	}
 	c.heardAt = now
 	if c.keyed && d.keysLapsed(now) {
 		d.endLapsed(now)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,12 @@
 	ContractQuota   = "quota"   // what tenants send is limited
 )
 
+// silencePeriods is how many ping_s a client may be silent; the margin is for the way.
+const silencePeriods = 3.2
+
+// ClientSilence is how long a client of topics may say nothing until its edge drops it.
+func (s *Settings) ClientSilence() ids.Millis { return ids.Millis(s.PingS * 1000 * silencePeriods) }
+
 // InForce tells whether a part of the rules is in force.
 func (s *Settings) InForce(contract string) bool { return slices.Contains(s.Contracts, contract) }
 
--- a/internal/shardapi/following.go
+++ b/internal/shardapi/following.go
@@ -87,3 +87,16 @@
 	_  struct{}   `cbor:",toarray"`
 	At ids.Millis // by the edge's steady clock
 }
+
+// Times tells how far decided time has come in groups that an edge follows.
+type Times struct {
+	_      struct{} `cbor:",toarray"`
+	Groups []GroupTime
+}
+
+// GroupTime is decided time of a group, as a replica has applied it.
+type GroupTime struct {
+	_     struct{} `cbor:",toarray"`
+	Group ids.Group
+	Time  ids.Millis
+}
--- a/internal/shardapi/kinds.go
+++ b/internal/shardapi/kinds.go
@@ -22,6 +22,7 @@
 	KindBye      transport.Kind = 31
 	KindPing     transport.Kind = 34
 	KindPong     transport.Kind = 35
+	KindTimes    transport.Kind = 37
 )
 
 // Frame kinds of control updates.
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -13,9 +13,24 @@
 const bytesPerKB = 1 << 10
 
 // resendPeriods is how many resend periods of a client accepted numbers are
-// remembered for.
+// remembered for, at the least.
 const resendPeriods = 3
 
+// clientsPerMark is how many clients have their highest number remembered for each pair of client
+// and topic that may be.
+const clientsPerMark = 2
+
+// lateTime is how long after an acceptance its client may still write copies: half as long again
+// as it may repeat a number, since a decision counts from when its batch was opened.
+func lateTime(set *settings.Settings) ids.Millis { return ids.Millis(set.ResendS * 1500) }
+
+// rememberTime is how long accepted numbers are remembered: longer than late copies may be written
+// and the silence of a client that an edge bears, so that what is written now is never too old.
+func rememberTime(set *settings.Settings) ids.Millis {
+	resend := ids.Millis(set.ResendS * 1000)
+	return max(resendPeriods*resend, lateTime(set)+2*set.ClientSilence())
+}
+
 // reportSlack is added to the time for which the settings say that the outcome of
 // a message is told.
 const reportSlack = ids.Millis(5000)
@@ -48,8 +63,10 @@
 func Bounds(set *settings.Settings) topic.Bounds {
 	return topic.Bounds{
 		Slack:      ids.Millis(set.Int("keep_slack_ms", 15000)),
-		Resend:     ids.Millis(set.ResendS*1000) * resendPeriods,
+		Resend:     rememberTime(set),
+		Late:       lateTime(set),
 		Publishers: set.Int("marks", 100000),
+		Clients:    set.Int("marks", 100000) * clientsPerMark,
 		Topics:     set.Int("topics", 50000),
 		Live:       ids.Millis(set.Int("live_keep_ms", 8000)),
 		SweepMs:    1000,
--- a/internal/store/followers_test.go
+++ b/internal/store/followers_test.go
@@ -10,6 +10,7 @@
 	"oxbowdeck/internal/paxos"
 	"oxbowdeck/internal/replication"
 	"oxbowdeck/internal/shardapi"
+	"oxbowdeck/internal/topic"
 	"oxbowdeck/internal/transport"
 )
 
@@ -61,6 +62,7 @@
 		placement: &placement{},
 	}
 	d.followers = newFollowers(d.groupOf)
+	d.shards = newTopicShards(topic.Bounds{}, d.followers)
 	for _, l := range []*transport.Link{links[1], links[0]} {
 		d.follow(l, shardapi.Follow{Edge: "edge", Incarnation: 1})
 	}
--- a/internal/store/following.go
+++ b/internal/store/following.go
@@ -1,6 +1,9 @@
 package store
 
 import (
+	"maps"
+	"slices"
+
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/shardapi"
 	"oxbowdeck/internal/transport"
@@ -13,6 +16,30 @@
 	}
 	ready := d.serves(ids.MonotonicNow(), request.Group)
 	d.followers.follow(link, request, ready)
+	if ready {
+		d.sendTimes(link, request.Group)
+	}
+}
+
+// pong answers an edge's ping, and tells how far decided time has come in what it follows.
+func (d *Daemon) pong(link *transport.Link, ping shardapi.Ping) {
+	link.Send(shardapi.KindPong, ping)
+	if f := d.followers.find(link); f != nil {
+		d.sendTimes(link, slices.Collect(maps.Keys(f.groups))...)
+	}
+}
+
+// sendTimes tells an edge decided time in some groups.
+func (d *Daemon) sendTimes(link *transport.Link, groups ...ids.Group) {
+	var times shardapi.Times
+	for _, group := range groups {
+		if shard := d.shards.find(group); shard != nil {
+			times.Groups = append(times.Groups, shardapi.GroupTime{Group: group, Time: shard.state.Clock()})
+		}
+	}
+	if len(times.Groups) > 0 {
+		link.Send(shardapi.KindTimes, times)
+	}
 }
 
 // watch answers a follower that asks for a topic: with what it missed, and then
--- a/internal/store/receive.go
+++ b/internal/store/receive.go
@@ -43,7 +43,7 @@
 	case shardapi.KindHear:
 		shardapi.Handle(body, func(x shardapi.Hear) { d.hear(link, x) })
 	case shardapi.KindPing:
-		shardapi.Handle(body, func(x shardapi.Ping) { link.Send(shardapi.KindPong, x) })
+		shardapi.Handle(body, func(x shardapi.Ping) { d.pong(link, x) })
 	default:
 		return false
 	}
--- a/internal/store/topic_shards.go
+++ b/internal/store/topic_shards.go
@@ -61,6 +61,7 @@
 	now := s.state.Forgotten()
 	slog.Info("tables-full", "group", s.group,
 		"publishers_forgotten", now.Publishers-before.Publishers, "publishers", s.state.Publishers(),
+		"clients_forgotten", now.Clients-before.Clients, "clients", s.state.Clients(),
 		"topics_forgotten", now.Topics-before.Topics, "topics", s.state.Topics())
 }
 
--- a/internal/topic/command.go
+++ b/internal/topic/command.go
@@ -35,6 +35,9 @@
 	// Conn is the number of a subscription at the edge: later ones are higher.
 	Conn    uint64         `cbor:"9,keyasint,omitempty"`
 	Reserve *quota.Reserve `cbor:"10,keyasint,omitempty"`
+	// AsOf is of a publish: decided time that had passed, as its edge knows, before the client
+	// wrote it. An edge of an earlier version tells none.
+	AsOf ids.Millis `cbor:"11,keyasint,omitempty"`
 }
 
 // Verdict of a publish.
@@ -45,8 +48,12 @@
 	Fresh   Verdict = iota + 1 // accepted now
 	Again                      // accepted before: answered alike, delivered once
 	Refused                    // below an accepted number and never accepted itself
+	TooOld                     // perhaps written before its client's numbers were forgotten: not accepted now
 )
 
+// Accepted tells whether the message is in its topic's history.
+func (v Verdict) Accepted() bool { return v == Fresh || v == Again }
+
 // Event is what a replica tells the edges that follow it.
 type Event struct {
 	ID      paxos.ID
--- a/internal/topic/publishers.go
+++ b/internal/topic/publishers.go
@@ -39,6 +39,9 @@
 	key := publisherKey{Client: command.Client, Topic: command.Topic}
 	p := s.publishers[key]
 	if p == nil {
+		if verdict := s.forgottenClients.verdict(command); verdict != Fresh {
+			return verdict
+		}
 		p = &publisher{}
 		s.publishers[key] = p
 	}
--- a/internal/topic/snapshot.go
+++ b/internal/topic/snapshot.go
@@ -17,8 +17,8 @@
 )
 
 // header begins a saved state: so many rows of topics, publishers and subscriptions
-// follow, each in a fixed order, then a list of ended subscriptions, and the accounts of
-// tenants.
+// follow, each in a fixed order, then a list of ended subscriptions, the accounts of
+// tenants, and the forgotten clients.
 type header struct {
 	_ struct{} `cbor:",toarray"`
 	statemachine.Progress
@@ -77,9 +77,13 @@
 		}
 	}
 	w.Write(s.endedSubscriptionRows())
-	if s.accounts.Len() > 0 { // without tenants the form is that of versions that had none
+	forgot := !s.forgottenClients.empty()
+	if s.accounts.Len() > 0 || forgot { // without either the form is that of versions that had none
 		s.accounts.Save(w)
 	}
+	if forgot {
+		s.forgottenClients.save(w)
+	}
 	return w.Bytes()
 }
 
@@ -133,6 +137,9 @@
 	if err := loaded.accounts.Load(r); err != nil {
 		return err
 	}
+	if err := loaded.forgottenClients.load(r); err != nil {
+		return err
+	}
 	*s = *loaded
 	return nil
 }
--- a/internal/topic/state.go
+++ b/internal/topic/state.go
@@ -12,7 +12,9 @@
 type Bounds struct {
 	Slack      ids.Millis // history is kept this much longer than the space asks
 	Resend     ids.Millis // accepted numbers are remembered this long
+	Late       ids.Millis // after an acceptance its client may write that number, or a lower one, for so long
 	Publishers int        // most (client, topic) pairs whose numbers are remembered
+	Clients    int        // most clients of forgotten pairs whose highest number is remembered
 	Topics     int        // most topics remembered without history
 	Live       ids.Millis // history of a space that keeps none
 	SweepMs    ids.Millis // how often old things are looked for
@@ -25,6 +27,7 @@
 	forgottenUpTo      ids.Position // topics forgotten altogether lie below
 	topics             map[ids.Topic]*Topic
 	publishers         map[publisherKey]*publisher
+	forgottenClients   forgottenClients
 	subscriptions      map[ids.Topic]map[ids.Client]subscription
 	endedSubscriptions map[subscriptionKey]endedSubscription
 	accounts           *quota.Ledger // of the tenants whose home this shard is
@@ -35,6 +38,7 @@
 // Forgotten counts what a replica has let go of because its tables were full.
 type Forgotten struct {
 	Publishers int // clients on a topic, with their numbers
+	Clients    int // clients' highest numbers
 	Topics     int // topics without history
 }
 
@@ -46,6 +50,7 @@
 		publishers:         map[publisherKey]*publisher{},
 		subscriptions:      map[ids.Topic]map[ids.Client]subscription{},
 		endedSubscriptions: map[subscriptionKey]endedSubscription{},
+		forgottenClients:   newForgottenClients(),
 		accounts:           quota.NewLedger(),
 	}
 }
@@ -62,6 +67,9 @@
 // Forgotten counts what was let go of since this replica was opened.
 func (s *State) Forgotten() Forgotten { return s.forgotten }
 
+// Clients is how many clients of forgotten pairs have their highest number remembered.
+func (s *State) Clients() int { return len(s.forgottenClients.marks) }
+
 // Publishers is how many clients on a topic have their numbers remembered.
 func (s *State) Publishers() int { return len(s.publishers) }
 
--- a/internal/topic/state_test.go
+++ b/internal/topic/state_test.go
@@ -9,7 +9,7 @@
 	"oxbowdeck/internal/paxos"
 )
 
-var small = Bounds{Slack: 100, Resend: 1000, Publishers: 10, Topics: 2, Live: 50, SweepMs: 1}
+var small = Bounds{Slack: 100, Resend: 1000, Publishers: 10, Clients: 1000, Topics: 2, Live: 50, SweepMs: 1}
 
 type play struct {
 	*State
--- a/internal/topic/sweep.go
+++ b/internal/topic/sweep.go
@@ -23,6 +23,10 @@
 	if len(s.publishers) > s.Bounds.Publishers {
 		s.forgetPublishers(len(s.publishers) - s.Bounds.Publishers/2)
 	}
+	if clients := s.Clients(); clients > s.Bounds.Clients {
+		s.forgottenClients.shorten(clients-s.Bounds.Clients/2, s.Bounds.Late)
+		s.forgotten.Clients += clients - s.Clients()
+	}
 }
 
 // trim lets go of a topic's messages that were kept for long enough.
@@ -64,8 +68,8 @@
 	}
 }
 
-// forgetPublishers drops so many of those that were accepted from longest ago, as
-// far as no repeat of their calls can come any more.
+// forgetPublishers drops so many of those that were accepted from longest ago, as far as no
+// repeat of theirs is answered any more. Their clients' highest numbers stay.
 func (s *State) forgetPublishers(count int) {
 	type idlePublisher struct {
 		key publisherKey
@@ -81,6 +85,7 @@
 		return cmp.Or(cmp.Compare(a.at, b.at), a.key.compare(b.key))
 	})
 	for _, p := range idle[:min(count, len(idle))] {
+		s.forgottenClients.add(p.key.Client, s.publishers[p.key])
 		delete(s.publishers, p.key)
 		s.forgotten.Publishers++
 	}
