Soak: small tables, long freezes and clients that rest (--small-tables)

Cause: no table of a soak came near its bound, freezes were shorter than what is remembered, and no client was ever idle, so copies that come after their client was forgotten could not be seen.

--- a/cmd/oxbowctl/soak_command.go
+++ b/cmd/oxbowctl/soak_command.go
@@ -49,6 +49,7 @@
 	f.BoolVar(&options.shape.Queue, "queue", false, "a deployment that takes in messages and sends them to workers")
 	f.BoolVar(&options.shape.Tenants, "tenants", false, "clients bear the keys of tenants, and are limited")
 	f.BoolVar(&options.shape.Planned, "planned", false, "operators' work alone (restarts, retirements, additions), and nothing in trouble")
+	f.BoolVar(&options.shape.SmallTables, "small-tables", false, "shards remember few clients for a short time, edges freeze for longer")
 	f.StringVar(&options.planFile, "plan", "", "play this plan instead of one that is drawn")
 	f.BoolVar(&options.keep, "keep", false, "keep the folders of runs without findings too")
 	f.IntVar(&options.port, "port", 22500, "first port")
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -77,6 +77,13 @@
 	return d, nil
 }
 
+// smallTableSettings have shards remember the numbers of few clients, for a few seconds.
+var smallTableSettings = []string{
+	"tuning.marks=4",
+	"timing_bounds.resend_s=1",
+	"timing_bounds.ping_s=1",
+}
+
 // extraSettings are the settings that a soak adds to all processes.
 func (d *deployment) extraSettings() []string {
 	lines := []string{
@@ -88,6 +95,9 @@
 		"beat_ms=300",
 		"test_only.relay=" + d.relay.Address,
 	}
+	if d.config.Shape.SmallTables {
+		lines = append(lines, smallTableSettings...)
+	}
 	if d.config.Shape.Tenants {
 		lines = append(lines,
 			"contracts=tenants,quota",
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -100,6 +100,9 @@
 	Queue   bool          `json:"queue"`   // messages over HTTP instead of topics
 	Tenants bool          `json:"tenants"` // clients bear keys, and are limited
 	Planned bool          `json:"planned"` // operators' work alone, and nothing in trouble
+	// SmallTables: shards remember few clients, for a short time; edges freeze for longer, and
+	// clients rest. Of topics alone.
+	SmallTables bool `json:"small_tables,omitempty"`
 }
 
 // Losses is how many disks may be lost at once.
@@ -167,6 +170,11 @@
 	{Mute, 4, classes[:], 3 * tenth, 3 * second},
 }
 
+// smallTableTroubles outlast the memory of small tables.
+var smallTableTroubles = []weighted{
+	{Freeze, 20, []Class{Edge}, 12 * second, 20 * second},
+}
+
 var workerTroubles = []weighted{
 	{WorkerHang, 4, nil, second, 4 * second},
 	{WorkerTwice, 4, nil, second, 4 * second},
@@ -195,6 +203,9 @@
 	if shape.Queue {
 		kinds = append(kinds, workerTroubles...)
 	}
+	if shape.SmallTables {
+		kinds = append(kinds, smallTableTroubles...)
+	}
 	plan := Plan{Shape: shape, Start: drawStart(random, shape)}
 	var last Trouble
 	for at := second; at < shape.For; at += 3*tenth + time.Duration(random.Int64N(int64(17*tenth))) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -206,7 +206,9 @@
 			key = tenantOfClient(i).key
 			x.topics.tenants[fmt.Sprintf("client%d", i)] = tenantOfClient(i).label
 		}
-		x.clients = append(x.clients, newTopicClient(i, seed, key, x.topics, fronts, stop))
+		client := newTopicClient(i, seed, key, x.topics, fronts, stop)
+		client.rests = x.plan.Shape.SmallTables
+		x.clients = append(x.clients, client)
 	}
 	for _, c := range x.clients {
 		using.Go(func() { c.run(x.pickedUp(stop)) })
--- a/internal/soak/topics.go
+++ b/internal/soak/topics.go
@@ -29,6 +29,7 @@
 	maxRetryNumbers = 4               // numbers that a message is tried under
 	rejoinMost      = 600 * time.Millisecond
 	meanConnection  = 12 * time.Second // clients drop connections of their own will
+	meanRest        = 12 * time.Second // clients that rest say so long nothing new
 )
 
 // topicsOf lists the topics that a client subscribes to.
@@ -53,6 +54,9 @@
 	subscriptions map[string]*subscription // by topic
 	seq           uint64
 	current       *topicMessage // that it is publishing
+	rests         bool          // it rests after a message that it had to send over two connections
+	resent        bool          // the current message was sent over an earlier connection
+	restsUntil    time.Time
 }
 
 // newTopicClient makes a client, which runs by run.
@@ -147,6 +151,7 @@
 
 // end notes that the client reads nothing more over the connection.
 func (s *session) end() {
+	s.client.resent = s.client.resent || s.waiting
 	for _, over := range s.overs {
 		over()
 	}
@@ -195,7 +200,7 @@
 // publish sends what the client has to send, if nothing of it waits for an answer.
 func (s *session) publish(now time.Time) bool {
 	c := s.client
-	if !s.attached || s.waiting || now.Before(s.nextAt) || len(s.subscribed) < len(c.topics) {
+	if !s.attached || s.waiting || now.Before(s.nextAt) || now.Before(c.restsUntil) || len(s.subscribed) < len(c.topics) {
 		return true
 	}
 	m := c.current
@@ -303,6 +308,18 @@
 	c.history.acked(c.current, seq)
 	c.current = nil
 	s.pause(publishPause)
+	s.rest()
+}
+
+// rest has a client that rests publish nothing for a while, once what it had to send again was
+// accepted: its copy over the earlier connection may be on the way.
+func (s *session) rest() {
+	c := s.client
+	if c.rests && c.resent {
+		c.restsUntil = time.Now().Add(time.Duration(c.random.Int64N(int64(2 * meanRest))))
+		c.history.count("clients' rests")
+	}
+	c.resent = false
 }
 
 // rejected takes a refusal; false ends the connection.
