Cursors that lack nothing stay good, however many topics are quiet

Cause: one place stood for all topics that were forgotten, and for those that never had a message.

Change: of a topic that is forgotten by name its last place stays, 16 bytes each, up to tuning.quiet_topics (1,000,000 in a shard); a topic that is in no table never had a message.

--- a/internal/settings/settings.cue
+++ b/internal/settings/settings.cue
@@ -92,6 +92,7 @@
 	live_keep_ms?:      int & >=1 & <=600000
 	marks?:             int & >=1 & <=10000000
 	topics?:            int & >=1 & <=10000000
+	quiet_topics?:      int & >=1 & <=100000000
 	edge_conns?:        int & >=1 & <=1000000
 	edge_calls?:        int & >=1 & <=1000000
 	client_calls?:      int & >=1 & <=100000
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -68,6 +68,7 @@
 		Publishers: set.Int("marks", 100000),
 		Clients:    set.Int("marks", 100000) * clientsPerMark,
 		Topics:     set.Int("topics", 50000),
+		Quiet:      set.Int("quiet_topics", 1000000),
 		Live:       ids.Millis(set.Int("live_keep_ms", 8000)),
 		SweepMs:    1000,
 	}
--- a/internal/store/topic_shards.go
+++ b/internal/store/topic_shards.go
@@ -62,7 +62,8 @@
 	slog.Info("tables-full", "group", s.group,
 		"publishers_forgotten", now.Publishers-before.Publishers, "publishers", s.state.Publishers(),
 		"clients_forgotten", now.Clients-before.Clients, "clients", s.state.Clients(),
-		"topics_forgotten", now.Topics-before.Topics, "topics", s.state.Topics())
+		"topics_forgotten", now.Topics-before.Topics, "topics", s.state.Topics(),
+		"quiet_forgotten", now.Quiet-before.Quiet, "quiet", s.state.Quiet())
 }
 
 // Size is about how many bytes a snapshot takes.
--- a/internal/topic/history.go
+++ b/internal/topic/history.go
@@ -31,17 +31,25 @@
 	At      ids.Millis // last change
 }
 
-// topic gives a topic's history; one that is not known begins after what was
-// forgotten.
+// topic gives a topic's history; one that is not known by name begins after what was let
+// go of.
 func (s *State) topic(name ids.Topic) *Topic {
 	t := s.topics[name]
 	if t == nil {
-		t = &Topic{Trimmed: s.forgottenUpTo}
+		t = &Topic{Trimmed: s.trimmed(name)}
 		s.topics[name] = t
 	}
 	return t
 }
 
+// trimmed gives the last place that was let go of in a topic that is not known by name.
+func (s *State) trimmed(name ids.Topic) ids.Position {
+	if place := s.quiet.trimmed(name); place > 0 {
+		return place
+	}
+	return s.forgottenUpTo
+}
+
 // appendItem takes a message into its topic's history.
 func (s *State) appendItem(command *Command, pos ids.Position) {
 	t := s.topic(command.Topic)
@@ -67,7 +75,7 @@
 func (s *State) After(name ids.Topic, pos ids.Position) (items []Item, ok bool) {
 	t := s.topics[name]
 	if t == nil {
-		return nil, pos >= s.forgottenUpTo
+		return nil, pos >= s.trimmed(name)
 	}
 	i := sort.Search(len(t.Items), func(i int) bool { return t.Items[i].Pos > pos })
 	return t.Items[i:], pos >= t.Trimmed
--- a/internal/topic/snapshot.go
+++ b/internal/topic/snapshot.go
@@ -18,7 +18,7 @@
 
 // header begins a saved state: so many rows of topics, publishers and subscriptions
 // follow, each in a fixed order, then a list of ended subscriptions, the accounts of
-// tenants, and the forgotten clients.
+// tenants, the forgotten clients, and the quiet topics.
 type header struct {
 	_ struct{} `cbor:",toarray"`
 	statemachine.Progress
@@ -77,14 +77,24 @@
 		}
 	}
 	w.Write(s.endedSubscriptionRows())
-	forgot := !s.forgottenClients.empty()
-	if s.accounts.Len() > 0 || forgot { // without either the form is that of versions that had none
+	s.saveLaterParts(w)
+	return w.Bytes()
+}
+
+// saveLaterParts appends what earlier versions did not have. Parts at the end that are empty are
+// left out: without them the form is that of versions before.
+func (s *State) saveLaterParts(w *statemachine.SnapshotWriter) {
+	quiet := s.quiet.count > 0
+	forgotten := quiet || !s.forgottenClients.empty()
+	if forgotten || s.accounts.Len() > 0 {
 		s.accounts.Save(w)
 	}
-	if forgot {
+	if forgotten {
 		s.forgottenClients.save(w)
 	}
-	return w.Bytes()
+	if quiet {
+		s.quiet.save(w)
+	}
 }
 
 // header gives the header of the state.
@@ -140,6 +150,9 @@
 	if err := loaded.forgottenClients.load(r); err != nil {
 		return err
 	}
+	if err := loaded.quiet.load(r); err != nil {
+		return err
+	}
 	*s = *loaded
 	return nil
 }
--- a/internal/topic/state.go
+++ b/internal/topic/state.go
@@ -15,7 +15,8 @@
 	Late       ids.Millis // after an acceptance its client may write that number, or a lower one, for so long
 	Publishers int        // most (client, topic) pairs whose numbers are remembered
 	Clients    int        // most clients of forgotten pairs whose highest number is remembered
-	Topics     int        // most topics remembered without history
+	Topics     int        // most topics remembered by name without history
+	Quiet      int        // most topics remembered beside them, each by its last place
 	Live       ids.Millis // history of a space that keeps none
 	SweepMs    ids.Millis // how often old things are looked for
 }
@@ -24,8 +25,9 @@
 type State struct {
 	Bounds             Bounds
 	progress           statemachine.Progress
-	forgottenUpTo      ids.Position // topics forgotten altogether lie below
 	topics             map[ids.Topic]*Topic
+	quiet              quietTopics  // topics without history that are in topics no more
+	forgottenUpTo      ids.Position // topics that are not in quiet either lie below
 	publishers         map[publisherKey]*publisher
 	forgottenClients   forgottenClients
 	subscriptions      map[ids.Topic]map[ids.Client]subscription
@@ -40,6 +42,7 @@
 	Publishers int // clients on a topic, with their numbers
 	Clients    int // clients' highest numbers
 	Topics     int // topics without history
+	Quiet      int // last places of such topics
 }
 
 // New starts an empty state.
@@ -61,8 +64,8 @@
 // Clock is the decided time.
 func (s *State) Clock() ids.Millis { return s.progress.Clock }
 
-// Bytes is about how many bytes the history takes.
-func (s *State) Bytes() int { return s.bytes }
+// Bytes is about how many bytes the history and the quiet topics take.
+func (s *State) Bytes() int { return s.bytes + s.quiet.count*quietBytes }
 
 // Forgotten counts what was let go of since this replica was opened.
 func (s *State) Forgotten() Forgotten { return s.forgotten }
@@ -73,7 +76,10 @@
 // Publishers is how many clients on a topic have their numbers remembered.
 func (s *State) Publishers() int { return len(s.publishers) }
 
-// Topics is how many topics are remembered, with history or without.
+// Quiet is how many topics are remembered by their last place alone.
+func (s *State) Quiet() int { return s.quiet.count }
+
+// Topics is how many topics are remembered by name, with history or without.
 func (s *State) Topics() int { return len(s.topics) }
 
 // End is the place after everything applied.
--- a/internal/topic/sweep.go
+++ b/internal/topic/sweep.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// forgetTopics drops the oldest topics without history.
+// forgetTopics drops the oldest topics without history. Their last places stay.
 func (s *State) forgetTopics(count int) {
 	type bareTopic struct {
 		name ids.Topic
@@ -61,10 +61,16 @@
 	slices.SortFunc(bare, func(a, b bareTopic) int {
 		return cmp.Or(cmp.Compare(a.pos, b.pos), cmp.Compare(a.name, b.name))
 	})
-	for _, t := range bare[:count] {
-		s.forgottenUpTo = max(s.forgottenUpTo, t.pos)
+	quiet := make([]quietTopic, count)
+	for i, t := range bare[:count] {
+		quiet[i] = quietTopic{digest: digestOf(t.name), trimmed: t.pos}
 		delete(s.topics, t.name)
-		s.forgotten.Topics++
+	}
+	s.quiet.add(quiet)
+	s.forgotten.Topics += count
+	if before := s.quiet.count; before > s.Bounds.Quiet {
+		s.forgottenUpTo = max(s.forgottenUpTo, s.quiet.shorten(before-s.Bounds.Quiet/2))
+		s.forgotten.Quiet += before - s.quiet.count
 	}
 }
 
