An edge leaves a replica whose second answer ends what the first began

An edge that got no answer for 0.5 s asks again. Of two answers that come together the first may say ready and the second not: the store then follows nobody, and the edge took it for followed as long as the link lived, so its subscriptions got nothing. Now the second answer has the edge turn to another replica.

TestNotReadyEndsAFollowing fails before.

--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -259,10 +259,18 @@
 
 // followed takes a replica's answer to whether it can be followed.
 func (d *Daemon) followed(now ids.Millis, l *transport.Link, f shardapi.Followed) {
-	if int(f.Group) >= len(d.feeds) || d.feeds[f.Group].candidate != l {
+	if int(f.Group) >= len(d.feeds) {
 		return
 	}
 	x := d.feeds[f.Group]
+	if !f.Ready && l == x.link { // it was asked twice, and its second answer ends what the first began
+		x.avoid[l.Peer().Node] = now + avoidUnready
+		d.abandon(now, x)
+		return
+	}
+	if l != x.candidate {
+		return
+	}
 	x.candidate = nil
 	if !f.Ready {
 		x.avoid[l.Peer().Node] = now + avoidUnready
--- a/internal/edge/feeds_test.go
+++ b/internal/edge/feeds_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"oxbowdeck/internal/controlapi"
 	"oxbowdeck/internal/edgecore"
 	"oxbowdeck/internal/ids"
 	"oxbowdeck/internal/paxos"
+	"oxbowdeck/internal/shardapi"
+	"oxbowdeck/internal/transport"
 )
 
 // TestEachReplicaIsAskedInTurn: after a loss of all power every replica was found
@@ -42,3 +45,30 @@
 		t.Fatalf("%s is asked, and c is not avoided any more", got[0].Addr)
 	}
 }
+
+// TestNotReadyEndsAFollowing guards against an edge that takes a replica for followed which has just
+// said, to an earlier or a second question, that it can't be: its subscriptions would get nothing.
+func TestNotReadyEndsAFollowing(t *testing.T) {
+	bounded := transport.Bounds{Queue: 1 << 20, RetryMin: time.Minute, RetryMax: time.Minute}
+	hub := transport.New(transport.Hello{Node: "e"}, bounded, nil, func(*transport.Link) {})
+	update := &controlapi.Update{Shards: make([]controlapi.Shard, 1)}
+	d := newDaemon(bounds{})
+	d.core = &edgecore.Core{Hub: hub, Control: &controlapi.Client{Update: update}}
+	link := hub.To("127.0.0.1:1")
+	feed := &shardFeed{candidate: link, avoid: map[ids.Node]ids.Millis{}}
+	d.feeds = []*shardFeed{feed}
+	d.followed(1000, link, shardapi.Followed{Group: 0, Ready: true})
+	if feed.link != link {
+		t.Fatal("a replica that is ready is not followed")
+	}
+	d.followed(1001, link, shardapi.Followed{Group: 0, Ready: false}) // to a question that was asked again
+	if feed.link != nil || feed.avoid[link.Peer().Node] <= 1001 {
+		t.Fatal("a replica that ended the following is followed on, or asked again at once")
+	}
+	other := hub.To("127.0.0.1:2")
+	feed.candidate, feed.link = nil, other
+	d.followed(1002, link, shardapi.Followed{Group: 0, Ready: false}) // of one that was left meanwhile
+	if feed.link != other {
+		t.Fatal("another replica's word ended the following")
+	}
+}
