What a subscription missed comes in pieces, and any byte of a link is heard

Cause: the backlog came in one frame, and a link counted as heard with the head of a frame alone, so it was dropped as silent while the frame came; nothing was kept.

Change: bytes count as heard; a store gives edges that take pieces about 16 KiB at a time (tuning.piece_kb), and the edge asks for the next; what flows meanwhile is among them. A pong that waited behind a piece is not late, and a subscription that waits behind pieces is not turned away. Edges and stores of the version before get and give one frame as before.

TestPartOfAFrameIsHeard fails before.

--- a/internal/edge/backlog.go
+++ b/internal/edge/backlog.go
@@ -20,7 +20,8 @@
 	return c.daemon.bounds.clientOut*roomPercent/100 - len(c.out) - len(c.pending)
 }
 
-// catchUp hands a subscription what it missed, as far as there is room.
+// catchUp hands a subscription what it missed, as far as there is room, and asks for the next
+// piece if that was one.
 func (d *Daemon) catchUp(s *subscription, joined shardapi.Joined) {
 	room := s.conn.room()
 	for _, it := range joined.Items {
@@ -34,20 +35,29 @@
 		}
 		d.deliver(s, it.Pos, line)
 	}
+	if joined.Piece {
+		s.stayBehind()
+		d.requestJoin(s)
+		return
+	}
 	s.behind = false
 	delete(s.conn.behind, s)
 }
 
 // fallBehind has a subscription go on once its client has read what waits.
 func (d *Daemon) fallBehind(s *subscription) {
-	c := s.conn
+	s.stayBehind()
+	s.conn.drained.Store(true)
+	s.conn.wakeWriter() // it may have found nothing to write just now
+}
+
+// stayBehind has a subscription get nothing until it was handed what it missed.
+func (s *subscription) stayBehind() {
 	s.behind = true
-	if c.behind == nil {
-		c.behind = map[*subscription]bool{}
+	if s.conn.behind == nil {
+		s.conn.behind = map[*subscription]bool{}
 	}
-	c.behind[s] = true
-	c.drained.Store(true)
-	c.wakeWriter() // it may have found nothing to write just now
+	s.conn.behind[s] = true
 }
 
 // tellDrained tells the edge that nothing waits to be written, if it wants to know; on the writer.
@@ -63,7 +73,9 @@
 		return
 	}
 	for s := range c.behind {
-		d.requestJoin(s)
+		if d.joins[s.request] != s { // else it is asked for already
+			d.requestJoin(s)
+		}
 	}
 }
 
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -13,7 +13,8 @@
 func (d *Daemon) flow(l *transport.Link, x shardapi.Flow) {
 	d.endLapsed(ids.MonotonicNow())
 	for _, it := range x.Items {
-		if t := d.topics[it.Topic]; t != nil && d.followedLink(it.Topic) == l {
+		t := d.topics[it.Topic]
+		if t != nil && !t.resuming && d.followedLink(it.Topic) == l {
 			d.deliverAll(t, it.Pos, it.Client, it.Seq, it.Body)
 		}
 	}
@@ -22,22 +23,6 @@
 	}
 }
 
-// resume takes the answer to a topic's Watch at another replica than before.
-func (d *Daemon) resume(t *followedTopic, j shardapi.Joined) {
-	if j.Expired {
-		for c := range t.subscribers {
-			c.end() // it lacks what no replica has: the client takes it up anew
-		}
-		return
-	}
-	for _, it := range j.Items {
-		d.deliverAll(t, it.Pos, it.Client, it.Seq, it.Body)
-	}
-	if j.End > t.last {
-		t.last = j.End
-	}
-}
-
 // deliverAll hands a decided message to a topic's subscribers.
 func (d *Daemon) deliverAll(t *followedTopic, p ids.Position, client ids.Client, seq ids.Seq, body []byte) {
 	var line []byte
--- a/internal/edge/feeds.go
+++ b/internal/edge/feeds.go
@@ -25,6 +25,7 @@
 	nextReview      ids.Millis              // when a better replica is looked for
 	avoid           map[ids.Node]ids.Millis // stores not to be asked, until when
 	times           decidedTimes
+	pieceAt         ids.Millis // when a piece of a large answer last came
 }
 
 // How long a store is not asked again to be followed.
@@ -104,7 +105,7 @@
 	slog.Warn("replica-lost", "group", x.group, "peer", x.link.Peer().Node)
 	x.link, x.lostAt = nil, now
 	for _, t := range d.topicsOf(x.group) {
-		t.flowing = false
+		t.flowing, t.resuming = false, false
 	}
 	x.askedAt = 0
 	d.askReplica(now, x)
@@ -209,6 +210,7 @@
 	for _, r := range d.candidates(now, x) {
 		l := d.core.Hub.To(r.Addr)
 		if l.Send(shardapi.KindFollow, follow) {
+			l.Send(shardapi.KindTakesPieces, struct{}{})
 			x.candidate, x.askedAt = l, now
 			return
 		} // else it could not be reached a moment ago
@@ -284,52 +286,6 @@
 	d.resumeAt(x)
 }
 
-// resumeAt takes up at a replica just followed what the one before left open.
-func (d *Daemon) resumeAt(x *shardFeed) {
-	for k, s := range d.joins {
-		if d.groupOf(s.topic.name) == x.group {
-			delete(d.joins, k)
-		}
-	}
-	for _, t := range d.topicsOf(x.group) {
-		d.resumeTopic(x.link, t)
-	}
-	for k, q := range d.censuses {
-		if d.groupOf(q.topic) == x.group {
-			x.link.Send(shardapi.KindCount, shardapi.Count{Req: k, Topic: q.topic})
-		}
-	}
-	for _, c := range d.calls {
-		if c.group == x.group && c.forwards > 0 {
-			d.queue(c) // its outcome may have passed by unseen
-		}
-	}
-}
-
-// resumeTopic takes up a topic after the last message that its subscribers were handed,
-// and asks for those that wait to join.
-func (d *Daemon) resumeTopic(l *transport.Link, t *followedTopic) {
-	t.flowing = false
-	active, retained := false, false
-	for _, s := range t.subscribers {
-		active = active || s.active && !s.behind
-		retained = retained || s.retained
-	}
-	if active {
-		t.flowing = true
-		d.lastRequest++
-		t.resumeRequest = d.lastRequest
-		l.Send(shardapi.KindWatch, shardapi.Watch{
-			Req: t.resumeRequest, Topic: t.name, From: t.last, Has: true, Keeps: retained,
-		})
-	}
-	for _, s := range t.subscribers {
-		if !s.active || s.behind {
-			d.requestJoin(s)
-		}
-	}
-}
-
 // followingEnded takes a replica's word that it ends a following.
 func (d *Daemon) followingEnded(now ids.Millis, l *transport.Link, groups []ids.Group) {
 	for _, g := range groups {
@@ -361,7 +317,7 @@
 		if x.link != l {
 			continue
 		}
-		if now-p.At < d.bounds.replicaLate {
+		if now-p.At < d.bounds.replicaLate || d.tookPiece(l, p.At) {
 			x.latePongs = 0
 			continue
 		}
@@ -372,6 +328,25 @@
 	}
 }
 
+// tookPiece tells whether a piece of a large answer came over a link since a time: other frames
+// waited behind it.
+func (d *Daemon) tookPiece(l *transport.Link, since ids.Millis) bool {
+	for _, x := range d.feeds {
+		if x.link == l && x.pieceAt >= since {
+			return true
+		}
+	}
+	return false
+}
+
+// pieceAt is when a piece of a large answer last came of a topic's shard: other answers wait behind it.
+func (d *Daemon) pieceAt(t ids.Topic) ids.Millis {
+	if x := d.feedOf(t); x != nil {
+		return x.pieceAt
+	}
+	return 0
+}
+
 // unreachable tells whether a shard can be reached neither for a call nor for its
 // outcome, and has not been for a while: then calls are answered at once.
 func (d *Daemon) unreachable(now ids.Millis, x *shardFeed) bool {
--- a/internal/edge/frames.go
+++ b/internal/edge/frames.go
@@ -45,8 +45,9 @@
 		if x, ok := transport.Get[shardapi.Times](b); ok {
 			d.hearTimes(now, x)
 		}
-	case shardapi.KindJoined:
+	case shardapi.KindJoined, shardapi.KindPiece:
 		if x, ok := transport.Get[shardapi.Joined](b); ok && l == d.followedLink(x.Topic) {
+			x.Piece = k == shardapi.KindPiece
 			d.joined(x)
 		}
 	case shardapi.KindCounted:
--- a/internal/edge/requests.go
+++ b/internal/edge/requests.go
@@ -160,7 +160,7 @@
 func (d *Daemon) sweep(now ids.Millis) {
 	for _, t := range d.topics {
 		for _, s := range t.subscribers {
-			if !s.active && now-s.since > d.bounds.joinWait {
+			if !s.active && now-max(s.since, d.pieceAt(t.name)) > d.bounds.joinWait {
 				s.conn.reject(verbSubscribe, t.name, 0, causeRetry)
 				d.unsubscribe(s)
 			}
--- a/internal/edge/subscriptions.go
+++ b/internal/edge/subscriptions.go
@@ -13,6 +13,7 @@
 	last          ids.Position // everything up to here was handed to the active subscriptions
 	subscribers   map[*conn]*subscription
 	flowing       bool   // the replica followed flows it
+	resuming      bool   // pieces of what was missed are to come: what flows is among them
 	resumeRequest uint64 // asked for when it was last taken up at another replica
 	recent        recentMessages
 }
@@ -21,11 +22,21 @@
 // A replica may lag: then the topic's place is that of the lowest of its subscriptions, from which
 // it is taken up at another replica, and the others pass over what they had.
 func (t *followedTopic) reached(end ids.Position, behind bool) {
-	if !behind {
+	if !behind && !t.resuming {
 		t.last = end
 	}
 }
 
+// retained tells whether a subscription is to a space that keeps its messages.
+func (t *followedTopic) retained() bool {
+	for _, s := range t.subscribers {
+		if s.retained {
+			return true
+		}
+	}
+	return false
+}
+
 // subscription is one client's to a topic.
 type subscription struct {
 	conn     *conn
@@ -139,6 +150,9 @@
 
 // joined takes the replica's answer to a Watch.
 func (d *Daemon) joined(j shardapi.Joined) {
+	if x := d.feedOf(j.Topic); x != nil && j.Piece {
+		x.pieceAt = ids.MonotonicNow()
+	}
 	s := d.joins[j.Req]
 	if s == nil { // whoever asked is gone, unless a topic was taken up at another replica
 		if t := d.topics[j.Topic]; t != nil && t.resumeRequest == j.Req {
--- a/internal/settings/settings.cue
+++ b/internal/settings/settings.cue
@@ -105,6 +105,7 @@
 	replica_late_ms?:   int & >=10 & <=60000
 	news_quiet_ms?:     int & >=100 & <=60000
 	hope_ms?:           int & >=50 & <=60000
+	piece_kb?:          int & >=1 & <=65536
 	lane_queue_kb?:     int & >=64 & <=1048576
 	lane_frame_kb?:     int & >=16384 & <=1048576
 	lane_dial_ms?:      int & >=10 & <=60000
--- a/internal/shardapi/following.go
+++ b/internal/shardapi/following.go
@@ -34,7 +34,9 @@
 	Keeps bool // the space promises its history: a place that is gone is told
 }
 
-// Joined answers Watch with what was decided between the place and now.
+// Joined answers Watch with what was decided between the place and now. As KindPiece it has the first
+// piece of that: End is the place of the last item, nothing flows yet, and the edge asks for what
+// comes after.
 type Joined struct {
 	_       struct{} `cbor:",toarray"`
 	Req     uint64
@@ -42,6 +44,7 @@
 	End     ids.Position
 	Expired bool
 	Items   []topic.Item
+	Piece   bool `cbor:"-"` // it came, or goes, as KindPiece
 }
 
 // Unwatch ends the flow of a topic.
--- a/internal/shardapi/kinds.go
+++ b/internal/shardapi/kinds.go
@@ -23,6 +23,9 @@
 	KindPing     transport.Kind = 34
 	KindPong     transport.Kind = 35
 	KindTimes    transport.Kind = 37
+	// KindTakesPieces, without content, tells that the edge takes what a Watch is answered in pieces.
+	KindTakesPieces transport.Kind = 38
+	KindPiece       transport.Kind = 39 // the first piece of a large answer to Watch
 )
 
 // Frame kinds of control updates.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -77,8 +77,10 @@
 	return d, nil
 }
 
-// smallTableSettings have shards remember the numbers of few clients, for a few seconds.
+// smallTableSettings have shards remember the numbers of few clients, for a few seconds, and bring
+// what a client missed in many pieces.
 var smallTableSettings = []string{
+	"tuning.piece_kb=1",
 	"tuning.marks=4",
 	"timing_bounds.resend_s=1",
 	"timing_bounds.ping_s=1",
--- a/internal/store/daemon.go
+++ b/internal/store/daemon.go
@@ -56,6 +56,7 @@
 	quotas    *quotaStatus         // where metrics are on as well, else nil
 	queue     *dispatch.Host       // of a deployment that takes in messages, else nil
 
+	pieceBytes        int        // about how much of a topic's messages goes in one frame: others wait behind it
 	heartbeatInterval ids.Millis // how often followers hear that this replica lives
 	nextHeartbeat     ids.Millis
 	nextDuties        ids.Millis
--- a/internal/store/followers.go
+++ b/internal/store/followers.go
@@ -17,6 +17,7 @@
 	edge   ids.Node
 	groups map[ids.Group]bool
 	topics map[ids.Topic]bool
+	pieces bool          // the edge takes large answers in pieces
 	flow   shardapi.Flow // what is decided and not sent yet
 }
 
--- a/internal/store/following.go
+++ b/internal/store/following.go
@@ -59,10 +59,30 @@
 			joined.Items = items
 		}
 	}
-	if !joined.Expired {
+	if f.pieces {
+		shorten(&joined, d.pieceBytes)
+	}
+	if !joined.Expired && !joined.Piece {
 		d.followers.watch(f, request.Topic)
 	}
-	f.link.Send(shardapi.KindJoined, joined)
+	kind := shardapi.KindJoined
+	if joined.Piece {
+		kind = shardapi.KindPiece
+	}
+	f.link.Send(kind, joined)
+}
+
+// shorten leaves the first piece of a large answer.
+func shorten(joined *shardapi.Joined, pieceBytes int) {
+	bytes := 0
+	for i := range joined.Items {
+		if bytes += len(joined.Items[i].Body); bytes >= pieceBytes && i+1 < len(joined.Items) {
+			joined.Items = joined.Items[:i+1]
+			joined.End = joined.Items[i].Pos
+			joined.Piece = true
+			return
+		}
+	}
 }
 
 // count answers how many clients are subscribed to a topic.
--- a/internal/store/receive.go
+++ b/internal/store/receive.go
@@ -57,6 +57,8 @@
 		shardapi.Handle(body, func(x shardapi.Bye) { d.followers.unfollowAll(f, x.Groups) })
 	case shardapi.KindWatch:
 		shardapi.Handle(body, func(x shardapi.Watch) { d.watch(f, x) })
+	case shardapi.KindTakesPieces:
+		f.pieces = true
 	case shardapi.KindUnwatch:
 		shardapi.Handle(body, func(x shardapi.Unwatch) { d.followers.unwatch(f, x.Topic) })
 	case shardapi.KindCount:
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -82,6 +82,7 @@
 		settings:          set,
 		disk:              disk,
 		actor:             replication.NewActor(commandQueueLength),
+		pieceBytes:        set.Int("piece_kb", 16) * bytesPerKB,
 		heartbeatInterval: ids.Millis(set.Int("pulse_ms", 100)),
 	}
 	d.self = controlapi.Node{
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -32,7 +32,8 @@
 	lastQueued atomic.Int64 // when a frame was last queued
 }
 
-// Heard is when a frame was last read: not when whoever takes frames got to it.
+// Heard is when anything was last read, also a part of a frame: not when whoever takes frames got
+// to it.
 func (l *Link) Heard() ids.Millis { return ids.Millis(l.lastHeard.Load()) }
 
 // Peer is who is at the other end.
--- a/internal/transport/link_test.go
+++ b/internal/transport/link_test.go
@@ -316,3 +316,29 @@
 		t.Fatalf("told of %q", order)
 	}
 }
+
+// TestPartOfAFrameIsHeard guards against a link over which a long frame comes in being taken for
+// silent until it has ended.
+func TestPartOfAFrameIsHeard(t *testing.T) {
+	got := make(chan int, 1)
+	handled := func(_ *Link, _ Kind, body []byte) { got <- len(body) }
+	hub := New(Hello{Node: "b"}, small, handled, func(*Link) {})
+	here, there := net.Pipe()
+	t.Cleanup(func() { here.Close(); there.Close() })
+	link := &Link{hub: hub, to: "a", conn: here, hasReader: true, ready: make(chan struct{}, 1)}
+	go link.read(here)
+	frame := appendFrame(nil, 5, make([]byte, 30_000))
+	const pieces = 5
+	last := link.Heard()
+	for i := range pieces {
+		time.Sleep(20 * time.Millisecond)
+		there.Write(frame[i*len(frame)/pieces : (i+1)*len(frame)/pieces])
+		if now := link.Heard(); i > 0 && i < pieces-1 && now < last+10 {
+			t.Errorf("after part %d of the frame the link was heard at %d, before at %d", i+1, now, last)
+		}
+		last = link.Heard()
+	}
+	if size := <-got; size != 30_000 {
+		t.Errorf("%d bytes came", size)
+	}
+}
--- a/internal/transport/reader.go
+++ b/internal/transport/reader.go
@@ -20,16 +20,20 @@
 	unpackBuffer = 4 << 10 // after inflating
 )
 
-// countingConn reads a connection and counts.
+// countingConn reads a connection, counts, and notes when something came.
 type countingConn struct {
 	net.Conn
 	bytes *atomic.Int64
+	heard *atomic.Int64
 }
 
 // Read reads and counts.
 func (c countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
+	if n > 0 {
+		c.bytes.Add(int64(n))
+		c.heard.Store(int64(ids.MonotonicNow()))
+	}
 	return n, err
 }
 
@@ -42,7 +46,7 @@
 func (l *Link) read(c net.Conn) {
 	defer l.hub.down(l)
 	defer l.Drop()
-	r := bufio.NewReaderSize(countingConn{c, &l.hub.bytesRead}, readBuffer)
+	r := bufio.NewReaderSize(countingConn{c, &l.hub.bytesRead, &l.lastHeard}, readBuffer)
 	if l.packs() { // a link this side dialed: the answers come deflated
 		r = inflated(r)
 	}
