--- a/cmd/oxbowctl/soak_command.go
+++ b/cmd/oxbowctl/soak_command.go
@@ -60,7 +60,7 @@
 func (o soakOptions) check() error {
 	return checkBounds([]flagBound{
 		{"--zones", o.shape.Zones, 3, 5},
-		{"--edges", o.shape.Edges, 1, 8},
+		{"--edges", o.shape.Edges, 1, 12},
 		{"--runs", o.runs, 1, 10000},
 		{"--port", o.port, 1024, 65000},
 		{"--net", o.net, 0, 255},
--- a/internal/paxos/contact_test.go
+++ b/internal/paxos/contact_test.go
@@ -101,6 +101,11 @@
 		"membership-change": func(c *Core) { c.ChangeMembership(9000, three[:2]) },
 		"take":              func(c *Core) { c.Receive(9000, "b", Msg{Kind: Accepted, From: 2, Ballot: c.leader, Slot: 1}) },
 		"synced":            func(c *Core) { c.Synced(9000, 99) },
+		"transfer":          func(c *Core) { c.TransferLeadership(9000) },
+		"preferred":         func(c *Core) { c.TransferToPreferred(9000) },
+		"stop-leading":      func(c *Core) { c.StopLeading(9000) },
+		"disconnected":      func(c *Core) { c.Disconnected(9000, "b") },
+		"snapshot":          func(c *Core) { c.Install(9000, 50, c.Memberships(), 0) },
 	} {
 		a, b := pairOf(t)
 		swap(300, a, b, 3)
--- a/internal/paxos/election.go
+++ b/internal/paxos/election.go
@@ -88,6 +88,7 @@
 // election timeout left to be heard again. Links of those who don't vote break whenever
 // one of a fleet ends, and none of them waits for the leader's place.
 func (c *Core) Disconnected(now ids.Millis, node ids.Node) {
+	c.resign(now)
 	if c.role == Leader {
 		if ContainsNode(c.peers(true, false), node) {
 			c.leading.heartbeatAt = now - c.conf.HeartbeatInterval // be heard again at once: a reset is no death
--- a/internal/paxos/learner.go
+++ b/internal/paxos/learner.go
@@ -225,6 +225,7 @@
 
 // Install replaces the state up to slot with a snapshot's; false if it is old.
 func (c *Core) Install(now ids.Millis, at ids.Slot, memberships []Membership, clock ids.Millis) bool {
+	c.resign(now)
 	if at <= c.commit {
 		return false
 	}
--- a/internal/paxos/transfer.go
+++ b/internal/paxos/transfer.go
@@ -11,6 +11,7 @@
 // TransferLeadership makes a leader finish its window and hand over. It takes no new requests
 // from now on. It may lead again later, if it has a vote then.
 func (c *Core) TransferLeadership(now ids.Millis) {
+	c.resign(now)
 	if c.role != Leader || c.leading.transferring {
 		return
 	}
@@ -33,6 +34,7 @@
 // leads: it is asked how far it is, and takes over once it is level. A replica
 // that answers much later than the others is left alone.
 func (c *Core) TransferToPreferred(now ids.Millis) {
+	c.resign(now)
 	first := c.Voters()[0]
 	if first.ID == c.conf.Self.ID || !c.mayTransfer(now) {
 		return
