--- a/internal/queue/snapshot.go
+++ b/internal/queue/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"io"
 	"maps"
 	"slices"
 
@@ -104,14 +103,10 @@
 // the accounts. Snapshots without tenants end before that.
 func (s *State) loadTenants(r *statemachine.SnapshotReader, rows []*Row) error {
 	var h tenantHeader
-	err := r.Read("tenants", &h)
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	if err != nil {
+	if found, err := r.ReadLater("tenants", &h); !found {
 		return err
 	}
-	err = statemachine.ReadRows(r, "tenant", h.Messages, func(tenant tenantRow) error {
+	err := statemachine.ReadRows(r, "tenant", h.Messages, func(tenant tenantRow) error {
 		i, found := slices.BinarySearchFunc(rows, tenant.Pos, func(row *Row, pos ids.Position) int {
 			return cmp.Compare(row.Pos, pos)
 		})
--- a/internal/quota/snapshot.go
+++ b/internal/quota/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"slices"
 
@@ -33,15 +32,14 @@
 // snapshot that ends before them is of a version without a ledger: it has no accounts.
 func (l *Ledger) Load(r *statemachine.SnapshotReader) error {
 	var count int
-	err := r.Read("quota accounts", &count)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if _, err := r.ReadLater("quota accounts", &count); err != nil {
 		return err
 	}
 	if count < 0 || count > l.most {
 		return fmt.Errorf("%w: %d accounts", ErrDamagedAccount, count)
 	}
 	loaded := map[ids.Tenant]*account{}
-	err = statemachine.ReadRows(r, "quota account", count, func(row accountRow) error {
+	err := statemachine.ReadRows(r, "quota account", count, func(row accountRow) error {
 		if !validTenant(row.Tenant) || row.Account == nil || !row.Account.valid() {
 			return ErrDamagedAccount
 		}
--- a/internal/statemachine/snapshot.go
+++ b/internal/statemachine/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -60,6 +62,16 @@
 	return nil
 }
 
+// ReadLater decodes an item that later versions appended; found is false where the snapshot ends
+// before it.
+func (r *SnapshotReader) ReadLater(what string, item any) (found bool, err error) {
+	err = r.Read(what, item)
+	if errors.Is(err, io.EOF) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // ReadRows decodes so many rows and takes up each.
 func ReadRows[R any](r *SnapshotReader, what string, count int, take func(R) error) error {
 	for i := range count {
--- a/internal/topic/forgotten_clients.go
+++ b/internal/topic/forgotten_clients.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"slices"
 
@@ -94,11 +93,7 @@
 // load reads what save wrote; a snapshot that ends before it has none.
 func (f *forgottenClients) load(r *statemachine.SnapshotReader) error {
 	var header forgottenHeader
-	err := r.Read("forgotten clients", &header)
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	if err != nil {
+	if found, err := r.ReadLater("forgotten clients", &header); !found {
 		return err
 	}
 	if header.Marks < 0 || header.Fence < 0 {
--- a/internal/topic/quiet_topics.go
+++ b/internal/topic/quiet_topics.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 
 	"oxbowdeck/internal/ids"
@@ -139,11 +138,7 @@
 // load reads what save wrote; a snapshot that ends before it has none.
 func (q *quietTopics) load(r *statemachine.SnapshotReader) error {
 	var count int
-	err := r.Read("quiet topics", &count)
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	if err != nil {
+	if found, err := r.ReadLater("quiet topics", &count); !found {
 		return err
 	}
 	if count < 0 {
--- a/internal/topic/snapshot.go
+++ b/internal/topic/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"maps"
 	"slices"
 
@@ -189,8 +188,7 @@
 // loadEndedSubscriptions reads the list at the end; older snapshots have none.
 func (s *State) loadEndedSubscriptions(r *statemachine.SnapshotReader) error {
 	var rows []endedSubscriptionRow
-	err := r.Read("ended subscriptions", &rows)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if found, err := r.ReadLater("ended subscriptions", &rows); !found {
 		return err
 	}
 	for _, row := range rows {
