Settings: the time for which clients repeat numbers is converted in one place

resend_s was turned into milliseconds in three places, one of them with its factor folded in, and the default of tuning.marks stood twice beside itself. No value changes for the sites' settings.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,7 +110,7 @@
 		unreachable:    ids.Millis(set.Int("hope_ms", 300)),
 		giveUpMargin:   ids.Millis(set.Int("give_up_margin_ms", 200)),
 		joinWait:       ids.Millis(set.Int("join_wait_ms", 900)),
-		resendWindow:   ids.Millis(set.ResendS * 1000),
+		resendWindow:   set.ResendTime(),
 		keys:           edgecore.KeyRulesOf(set),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,9 @@
 	ContractQuota   = "quota"   // what tenants send is limited
 )
 
+// ResendTime is how long a client of topics may repeat a number that was accepted.
+func (s *Settings) ResendTime() ids.Millis { return ids.Millis(s.ResendS * 1000) }
+
 // silencePeriods is how many ping_s a client may be silent; the margin is for the way.
 const silencePeriods = 3.2
 
--- a/internal/store/config.go
+++ b/internal/store/config.go
@@ -22,13 +22,12 @@
 
 // lateTime is how long after an acceptance its client may still write copies: half as long again
 // as it may repeat a number, since a decision counts from when its batch was opened.
-func lateTime(set *settings.Settings) ids.Millis { return ids.Millis(set.ResendS * 1500) }
+func lateTime(set *settings.Settings) ids.Millis { return set.ResendTime() * 3 / 2 }
 
 // rememberTime is how long accepted numbers are remembered: longer than late copies may be written
 // and the silence of a client that an edge bears, so that what is written now is never too old.
 func rememberTime(set *settings.Settings) ids.Millis {
-	resend := ids.Millis(set.ResendS * 1000)
-	return max(resendPeriods*resend, lateTime(set)+2*set.ClientSilence())
+	return max(resendPeriods*set.ResendTime(), lateTime(set)+2*set.ClientSilence())
 }
 
 // reportSlack is added to the time for which the settings say that the outcome of
@@ -61,12 +60,13 @@
 
 // Bounds gives what a shard's state may hold.
 func Bounds(set *settings.Settings) topic.Bounds {
+	marks := set.Int("marks", 100000)
 	return topic.Bounds{
 		Slack:      ids.Millis(set.Int("keep_slack_ms", 15000)),
 		Resend:     rememberTime(set),
 		Late:       lateTime(set),
-		Publishers: set.Int("marks", 100000),
-		Clients:    set.Int("marks", 100000) * clientsPerMark,
+		Publishers: marks,
+		Clients:    marks * clientsPerMark,
 		Topics:     set.Int("topics", 50000),
 		Quiet:      set.Int("quiet_topics", 1000000),
 		Live:       ids.Millis(set.Int("live_keep_ms", 8000)),
